--- /dev/null
+++ b/include/pollenloft/control.hpp
@@ -0,0 +1,188 @@
+/// \file control.hpp
+/// What the control role decides, as pure modules: the replicated state
+/// (configuration, claims, blames, audit trail), the configuration leases
+/// and the endpoint directory of the leader.
+#ifndef POLLENLOFT_CONTROL_HPP
+#define POLLENLOFT_CONTROL_HPP
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "pollenloft/config.hpp"
+#include "pollenloft/wire.hpp"
+
+namespace pollenloft {
+
+/// State of a claim in `wire::claim_record::state`.
+enum class claim_state : std::int8_t { open, completed, unknown };
+
+/// Answer to a claim in `wire::claim_reply::answer`.
+enum class claim_answer : std::int8_t {
+  granted,     ///< the caller's dispatch may run, once
+  open,        ///< another dispatch holds it
+  settled,     ///< its outcome is recorded
+  mismatch,    ///< the key was used for another request
+  not_leader,  ///< ask the named leader
+  refused      ///< too many claims; nothing was recorded
+};
+
+/// A patch became this version.
+struct patch_accepted {
+  std::uint64_t version = 0;
+};
+/// A patch was refused in full.
+struct patch_refused {
+  std::string reason;
+};
+using patch_verdict = std::variant<patch_accepted, patch_refused>;
+
+/// What applying one log entry told its proposer.
+using command_reply =
+    std::variant<std::monostate, patch_verdict, wire::claim_reply>;
+
+/// Bounds of what the replicated state keeps. They are part of the protocol:
+/// every replica must use the same.
+struct control_limits {
+  std::size_t version_tail = 512;      ///< patches kept for catching up
+  std::size_t patch_results = 10000;   ///< answers kept for resent patches
+  std::size_t audit_records = 10000;
+  std::size_t claims = 200000;
+  milliseconds claim_retention{std::chrono::hours(24)};
+  milliseconds blame_retention{std::chrono::hours(1)};
+  std::size_t claim_body_bytes = 16 * 1024;  ///< of a recorded answer
+};
+
+/// The replicated state machine. Equal entries give equal state everywhere.
+class control_state {
+ public:
+  explicit control_state(control_limits limits = {}) : limits_(limits) {}
+
+  /// Applies a committed entry's bytes and returns the proposer's answer.
+  auto apply(std::string_view bytes) -> command_reply;
+  auto save() const -> std::string;
+  auto load(std::string_view bytes) -> std::optional<bool>;
+
+  auto config() const -> const configuration& { return config_; }
+  /// Patches after `version` in order; empty if they are no longer kept, then
+  /// the whole configuration must be sent.
+  auto patches_after(std::uint64_t version) const
+      -> std::optional<std::vector<wire::version_record>>;
+  auto audit() const -> const std::deque<wire::audit_record>& {
+    return audit_;
+  }
+  auto claim_count() const -> std::size_t { return claims_.size(); }
+  auto find_claim(const std::string& account, const std::string& key) const
+      -> const wire::claim_record*;
+  /// Holders (VM incarnations) of open claims.
+  auto claim_holders() const -> std::vector<std::string>;
+  /// Endpoints that a request's fingerprint has crashed.
+  auto blames(std::uint64_t fingerprint) const -> std::size_t;
+  auto all_blames() const -> std::vector<wire::blame_record>;
+  /// The recorded answer of an earlier patch with this id, if still kept.
+  auto earlier_verdict(const std::string& patch_id) const
+      -> std::optional<patch_verdict>;
+
+ private:
+  auto apply_patch_command(const wire::patch_command& patch) -> patch_verdict;
+  auto apply_claim(wire::claim_record claim) -> wire::claim_reply;
+  auto apply_settle(const wire::settle_command& settle) -> void;
+  auto apply_abandon(const wire::abandon_command& abandon) -> void;
+  auto apply_blame(const wire::blame_command& blame) -> void;
+  auto expire(milliseconds now) -> void;
+  auto remember(const wire::patch_command& patch, const patch_verdict& verdict)
+      -> void;
+
+  control_limits limits_;
+  configuration config_;
+  std::deque<wire::version_record> tail_;
+  std::unordered_map<std::string, wire::patch_result> results_;
+  std::deque<std::string> result_order_;
+  std::deque<wire::audit_record> audit_;
+  std::unordered_map<std::string, wire::claim_record> claims_;
+  std::deque<std::pair<std::int64_t, std::string>> claim_order_;
+  std::map<std::string, std::set<std::string>> open_by_holder_;
+  std::map<std::int64_t, wire::blame_record> blames_;
+};
+
+/// Configuration leases as the leader sees them. A version is accepted once
+/// every VM with a live lease has it in force. A new leader does not know the
+/// leases its predecessors granted, so it waits one whole lease first.
+class lease_table {
+ public:
+  struct holder {
+    std::string incarnation;
+    std::string zone;
+    std::string address;
+    instant expires{};
+    std::uint64_t in_force = 0;
+    bool draining = false;
+    std::map<std::string, double> usage;  ///< cost a second, heavy accounts
+  };
+
+  explicit lease_table(duration lease) : lease_(lease) {}
+
+  /// Forgets all leases: this replica was elected at `now`.
+  auto start_term(instant now) -> void;
+  auto renew(const wire::renew_request& request, instant now) -> void;
+  /// Every live lease has `version` in force and no unknown one can be left.
+  auto in_force_everywhere(std::uint64_t version, instant now) const -> bool;
+  /// Leases that ran out; each is returned once.
+  auto take_expired(instant now) -> std::vector<std::string>;
+  /// True once leases of earlier leaders have run out.
+  auto settled(instant now) const -> bool { return now >= unknown_until_; }
+  auto holders() const -> const std::map<std::string, holder>& {
+    return holders_;
+  }
+  auto live_count(instant now) const -> std::size_t;
+  auto is_live(const std::string& incarnation, instant now) const -> bool;
+  /// The summed usage of the heaviest client accounts over all VMs.
+  auto heaviest(std::size_t most, instant now) const
+      -> std::vector<wire::account_usage>;
+  auto lease() const -> duration { return lease_; }
+
+ private:
+  duration lease_;
+  instant unknown_until_{};
+  std::map<std::string, holder> holders_;  // by VM name
+};
+
+/// States of an endpoint in `wire::endpoint_record::state`.
+enum class endpoint_state : std::int8_t { up, leaving, gone };
+
+/// Which endpoints there are: soft state of the leader, rebuilt from the
+/// reports of the VMs that receive the heartbeats.
+class endpoint_directory {
+ public:
+  /// Merges a report. An older incarnation never replaces a newer one.
+  auto merge(const std::vector<wire::endpoint_record>& records) -> void;
+  /// Marks the endpoints of a VM that is gone as orphans; they are dropped
+  /// unless another VM reports them before `grace` has passed.
+  auto orphan(const std::string& vm, instant now) -> void;
+  auto drop_orphans(instant now, duration grace) -> void;
+  auto clear() -> void;
+  /// Records changed after `sequence`.
+  auto changes_after(std::int64_t sequence) const
+      -> std::vector<wire::endpoint_record>;
+  auto sequence() const -> std::int64_t { return sequence_; }
+  auto size() const -> std::size_t { return records_.size(); }
+  auto records() const -> const std::map<std::string, wire::endpoint_record>& {
+    return records_;
+  }
+
+ private:
+  auto touch(wire::endpoint_record& record) -> void;
+
+  std::map<std::string, wire::endpoint_record> records_;
+  std::map<std::int64_t, std::string> by_sequence_;
+  std::map<std::string, instant> orphans_;
+  std::int64_t sequence_ = 0;
+};
+
+}  // namespace pollenloft
+
+#endif
--- /dev/null
+++ b/include/pollenloft/route.hpp
@@ -0,0 +1,113 @@
+/// \file route.hpp
+/// Chooses the chain of runners for a request: least predicted completion
+/// time from own outstanding work, reported load discounted by its age, and
+/// costs learned per accelerator kind, endpoint and link. Pure.
+#ifndef POLLENLOFT_ROUTE_HPP
+#define POLLENLOFT_ROUTE_HPP
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "pollenloft/core.hpp"
+
+namespace pollenloft {
+
+/// An endpoint as the router sees it. A plain endpoint holds layers [0, 1).
+struct endpoint_view {
+  std::string id;
+  std::string incarnation;
+  socket_address address;
+  std::string kind;
+  std::string zone;
+  std::string pipeline;
+  std::int32_t first_layer = 0;
+  std::int32_t last_layer = 1;  ///< one past the last
+  std::int32_t slots = 1;       ///< requests it takes at once
+};
+
+/// One step of a chain: the endpoint runs layers [from, to).
+struct chain_stage {
+  std::shared_ptr<const endpoint_view> endpoint;
+  std::int32_t from = 0;
+  std::int32_t to = 1;
+};
+using chain = std::vector<chain_stage>;
+
+/// What an endpoint said of its load at the end of an answer.
+struct load_report {
+  std::string endpoint;
+  double running = 0;       ///< requests in its batch and queue, all callers
+  duration layer_time{};    ///< for one layer of one token, in the batch
+  duration link_time{};     ///< to the next stage
+};
+
+/// How a dispatch ended for an endpoint.
+enum class dispatch_result { served, refused, failed, abandoned };
+
+/// Ways to choose a chain.
+struct policy_predicted {};
+struct policy_least_outstanding {};
+struct policy_round_robin {};
+using route_policy = std::variant<policy_predicted, policy_least_outstanding,
+                                  policy_round_robin>;
+
+/// Reads `predicted`, `least-outstanding` or `round-robin`.
+auto parse_policy(const std::string& name) -> std::optional<route_policy>;
+
+struct route_options {
+  route_policy policy = policy_predicted{};
+  double eject_fraction = 0.3;  ///< most endpoints of a range ejected at once
+  duration eject_time = std::chrono::seconds(1);
+  duration report_half_life = milliseconds(500);
+  std::size_t samples = 4;  ///< endpoints compared for each layer range
+};
+
+struct chain_request {
+  std::string pipeline;
+  std::int32_t layers = 1;
+  bool suspect = false;  ///< was on an endpoint that crashed
+  const std::set<std::string>* avoid = nullptr;  ///< endpoint ids
+};
+
+class router {
+ public:
+  router(route_options options, std::uint64_t seed);
+  ~router();
+  router(const router&) = delete;
+  auto operator=(const router&) -> router& = delete;
+
+  /// Adds an endpoint or replaces an earlier incarnation.
+  auto upsert(const endpoint_view& endpoint) -> void;
+  /// No new work goes to this endpoint.
+  auto remove(const std::string& id) -> void;
+  /// VMs that share the endpoints' slots with this one.
+  auto set_vm_count(std::size_t vms) -> void;
+
+  /// A chain over [0, layers) with a free place on every stage, or empty.
+  auto choose(const chain_request& request, instant now)
+      -> std::optional<chain>;
+  auto started(const chain& stages, bool suspect) -> void;
+  /// The dispatch has ended. `at_fault` names the endpoint that a failure or
+  /// refusal came from; the others are not held to it.
+  auto ended(const chain& stages, bool suspect, dispatch_result result,
+             const std::string& at_fault, instant now) -> void;
+  auto learn(const std::vector<load_report>& reports, const chain& stages,
+             instant now) -> void;
+  /// Predicted time for one token over the chain, all stages and links.
+  auto token_time(const chain& stages) const -> duration;
+  auto size() const -> std::size_t;
+  auto knows(const std::string& id) const -> bool;
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace pollenloft
+
+#endif
--- /dev/null
+++ b/include/pollenloft/settings.hpp
@@ -0,0 +1,68 @@
+/// \file settings.hpp
+/// Settings of a program, each a flag `--name` and an environment variable
+/// `POLLENLOFT_NAME`; a flag goes before the variable. All are checked before
+/// the program starts anything.
+#ifndef POLLENLOFT_SETTINGS_HPP
+#define POLLENLOFT_SETTINGS_HPP
+
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "pollenloft/core.hpp"
+
+namespace pollenloft {
+
+/// What a setting's value may be.
+struct any_text {};
+struct nonempty_text {};
+struct number_in {
+  std::int64_t least;
+  std::int64_t most;
+};
+struct one_address {};
+/// `id=a.b.c.d:port,...`
+struct address_list {};
+struct one_of {
+  std::vector<std::string> values;
+};
+using setting_domain = std::variant<any_text, nonempty_text, number_in,
+                                    one_address, address_list, one_of>;
+
+/// One setting: its name, default, what is allowed and its help line.
+struct setting {
+  std::string name;
+  std::string fallback;
+  setting_domain domain;
+  std::string help;
+};
+
+/// The checked settings of a program and its positional arguments.
+class settings {
+ public:
+  auto text(const std::string& name) const -> const std::string&;
+  auto number(const std::string& name) const -> std::int64_t;
+  auto millis(const std::string& name) const -> milliseconds;
+  auto address(const std::string& name) const -> socket_address;
+  auto addresses(const std::string& name) const
+      -> std::map<std::string, socket_address>;
+  auto flag(const std::string& name) const -> bool;
+  auto arguments() const -> const std::vector<std::string>& { return rest_; }
+
+ private:
+  friend auto parse_settings(const std::string&, const std::vector<setting>&,
+                             int, char**) -> std::variant<settings, int>;
+  std::map<std::string, std::string> values_;
+  std::vector<std::string> rest_;
+};
+
+/// Reads flags and environment. Holds an exit code instead when the program
+/// should end: 0 after `--help` or `--version`, 2 after printing each fault
+/// as `setting=... value=... allowed=...`.
+auto parse_settings(const std::string& usage, const std::vector<setting>& known,
+                    int argc, char** argv) -> std::variant<settings, int>;
+
+}  // namespace pollenloft
+
+#endif
--- /dev/null
+++ b/src/config.cpp
@@ -0,0 +1,333 @@
+#include "pollenloft/config.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace pollenloft {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::int64_t max_layers = 4096;
+constexpr std::int64_t max_answer_tokens = 1 << 20;
+constexpr std::int64_t max_deadline_ms = 3600 * 1000;
+constexpr double max_weight = 1e6;
+constexpr std::size_t max_name = 128;
+
+/// Reads the fields of one JSON object and collects every fault.
+class object_reader {
+ public:
+  object_reader(const json& object, std::string path,
+                std::vector<field_fault>& faults)
+      : object_(object), path_(std::move(path)), faults_(faults) {
+    if (!object_.is_object()) fault("", "must be an object");
+  }
+
+  auto fault(const std::string& field, const std::string& reason) -> void {
+    faults_.push_back({field.empty() ? path_ : path_ + "." + field, reason});
+  }
+
+  auto number(const std::string& field, std::int64_t fallback,
+              std::int64_t least, std::int64_t most) -> std::int64_t {
+    const auto* value = take(field);
+    if (value == nullptr) return fallback;
+    const auto in_range = value->is_number_integer() &&
+                          value->get<std::int64_t>() >= least &&
+                          value->get<std::int64_t>() <= most;
+    if (in_range) return value->get<std::int64_t>();
+    fault(field, "must be a whole number from " + std::to_string(least) +
+                     " to " + std::to_string(most));
+    return fallback;
+  }
+
+  auto positive(const std::string& field, double fallback, double most)
+      -> double {
+    const auto* value = take(field);
+    if (value == nullptr) return fallback;
+    if (value->is_number() && value->get<double>() > 0 &&
+        value->get<double>() <= most)
+      return value->get<double>();
+    fault(field, "must be above 0 and at most " + std::to_string(most));
+    return fallback;
+  }
+
+  auto boolean(const std::string& field, bool fallback) -> bool {
+    const auto* value = take(field);
+    if (value == nullptr) return fallback;
+    if (value->is_boolean()) return value->get<bool>();
+    fault(field, "must be true or false");
+    return fallback;
+  }
+
+  auto text(const std::string& field, bool required) -> std::string {
+    const auto* value = take(field);
+    if (value == nullptr) {
+      if (required) fault(field, "is required");
+      return {};
+    }
+    if (value->is_string() && !value->get<std::string>().empty())
+      return value->get<std::string>();
+    fault(field, "must be a text that is not empty");
+    return {};
+  }
+
+  auto names(const std::string& field) -> std::vector<std::string> {
+    const auto* value = take(field);
+    if (value == nullptr) return {"*"};
+    std::vector<std::string> result;
+    if (value->is_array())
+      for (const auto& item : *value)
+        if (item.is_string()) result.push_back(item.get<std::string>());
+    if (!value->is_array() || result.size() != value->size())
+      fault(field, "must be a list of names");
+    return result;
+  }
+
+  auto refuse_unknown() -> void {
+    if (!object_.is_object()) return;
+    for (const auto& [key, value] : object_.items())
+      if (seen_.count(key) == 0) fault(key, "is not a known field");
+  }
+
+ private:
+  auto take(const std::string& field) -> const json* {
+    seen_.insert(field);
+    if (!object_.is_object()) return nullptr;
+    const auto found = object_.find(field);
+    return found == object_.end() ? nullptr : &*found;
+  }
+
+  const json& object_;
+  std::string path_;
+  std::vector<field_fault>& faults_;
+  std::set<std::string> seen_;
+};
+
+auto read_service(const json& object, const std::string& path,
+                  std::vector<field_fault>& faults) -> service {
+  object_reader in(object, path, faults);
+  service result;
+  const auto kind = in.text("kind", true);
+  if (kind == "model") {
+    model_pipeline pipeline;
+    pipeline.model = in.text("model", true);
+    pipeline.layers =
+        static_cast<std::int32_t>(in.number("layers", 1, 1, max_layers));
+    pipeline.max_tokens = static_cast<std::int32_t>(
+        in.number("max_tokens", 512, 1, max_answer_tokens));
+    result.kind = pipeline;
+  } else {
+    if (!kind.empty() && kind != "plain")
+      in.fault("kind", "must be model or plain");
+    result.kind = plain_service{};
+  }
+  result.idempotent = in.boolean("idempotent", true);
+  result.deadline =
+      milliseconds(in.number("deadline_ms", 30000, 1, max_deadline_ms));
+  result.endpoints = in.names("endpoints");
+  result.accounts = in.names("accounts");
+  in.refuse_unknown();
+  return result;
+}
+
+auto read_account(const json& object, const std::string& path,
+                  std::vector<field_fault>& faults) -> client_account {
+  object_reader in(object, path, faults);
+  client_account result;
+  result.token = in.text("token", true);
+  result.weight = in.positive("weight", 1, max_weight);
+  result.priority = static_cast<std::int32_t>(in.number("priority", 1, 0, 3));
+  in.refuse_unknown();
+  return result;
+}
+
+auto read_vm(const json& object, const std::string& path,
+             std::vector<field_fault>& faults) -> vm_settings {
+  object_reader in(object, path, faults);
+  vm_settings result;
+  result.drain = in.boolean("drain", false);
+  in.refuse_unknown();
+  return result;
+}
+
+auto to_json(const service& item) -> json {
+  json out{{"idempotent", item.idempotent},
+           {"deadline_ms", item.deadline.count()},
+           {"endpoints", item.endpoints},
+           {"accounts", item.accounts}};
+  std::visit(overloaded{[&](const model_pipeline& pipeline) {
+                          out["kind"] = "model";
+                          out["model"] = pipeline.model;
+                          out["layers"] = pipeline.layers;
+                          out["max_tokens"] = pipeline.max_tokens;
+                        },
+                        [&](const plain_service&) { out["kind"] = "plain"; }},
+             item.kind);
+  return out;
+}
+
+auto to_json(const client_account& item) -> json {
+  return {{"token", item.token},
+          {"weight", item.weight},
+          {"priority", item.priority}};
+}
+
+auto to_json(const vm_settings& item) -> json {
+  return {{"drain", item.drain}};
+}
+
+template <class Item>
+auto to_json(const std::shared_ptr<const Item>& item) -> json {
+  return to_json(*item);
+}
+
+template <class Item>
+auto section_json(const std::map<std::string, Item>& items) -> json {
+  auto out = json::object();
+  for (const auto& [name, item] : items) out[name] = to_json(item);
+  return out;
+}
+
+/// Merges one section of a patch into `items`, reading each named item anew.
+template <class Item, class Read>
+auto merge_section(const json& patch, const std::string& section,
+                   std::map<std::string, Item>& items, Read read,
+                   std::vector<field_fault>& faults) -> void {
+  const auto found = patch.find(section);
+  if (found == patch.end()) return;
+  if (!found->is_object()) {
+    faults.push_back({section, "must be an object"});
+    return;
+  }
+  for (const auto& [name, change] : found->items()) {
+    const auto path = section + "." + name;
+    if (name.empty() || name.size() > max_name) {
+      faults.push_back({path, "names have 1 to 128 characters"});
+      continue;
+    }
+    const auto present = items.find(name);
+    if (change.is_null()) {
+      if (present == items.end())
+        faults.push_back({path, "cannot be removed: it does not exist"});
+      else
+        items.erase(present);
+      continue;
+    }
+    auto whole = present == items.end() ? json::object()
+                                        : to_json(present->second);
+    whole.merge_patch(change);
+    items[name] = read(whole, path, faults);
+  }
+}
+
+auto check_references(const configuration& config,
+                      std::vector<field_fault>& faults) -> void {
+  for (const auto& [name, item] : config.services)
+    for (const auto& account : item->accounts)
+      if (account != "*" && config.accounts.count(account) == 0)
+        faults.push_back({"services." + name + ".accounts",
+                          "names the client account " + account +
+                              ", which does not exist"});
+}
+
+auto check_tokens(const json& patch, const configuration& config,
+                  std::vector<field_fault>& faults) -> void {
+  const auto changed = patch.find("accounts");
+  if (changed == patch.end()) return;
+  std::map<std::string_view, const std::string*> owners;
+  for (const auto& [name, account] : config.accounts) {
+    const auto [other, is_new] = owners.emplace(account->token, &name);
+    if (is_new || account->token.empty()) continue;
+    if (changed->contains(name) || changed->contains(*other->second))
+      faults.push_back({"accounts." + name + ".token",
+                        "is also the token of " + *other->second});
+  }
+}
+
+}  // namespace
+
+auto service::carries(std::string_view endpoint,
+                      std::string_view accelerator) const -> bool {
+  return std::any_of(
+      endpoints.begin(), endpoints.end(), [&](const std::string& allowed) {
+        if (allowed == "*" || allowed == endpoint) return true;
+        return allowed.rfind("kind:", 0) == 0 &&
+               std::string_view(allowed).substr(5) == accelerator;
+      });
+}
+
+auto service::serves(std::string_view account) const -> bool {
+  return std::any_of(accounts.begin(), accounts.end(),
+                     [&](const std::string& allowed) {
+                       return allowed == "*" || allowed == account;
+                     });
+}
+
+auto configuration::text() const -> std::string {
+  return json{{"version", version},
+              {"services", section_json(services)},
+              {"accounts", section_json(accounts)},
+              {"vms", section_json(vms)}}
+      .dump();
+}
+
+auto apply_patch(const configuration& base, std::string_view patch)
+    -> patch_outcome {
+  std::vector<field_fault> faults;
+  const auto body = json::parse(patch, nullptr, false);
+  if (!body.is_object()) {
+    faults.push_back({"", "the patch must be a JSON object"});
+    return faults;
+  }
+  for (const auto& [key, value] : body.items())
+    if (key != "services" && key != "accounts" && key != "vms")
+      faults.push_back({key, "is not a known field"});
+  auto next = base;
+  ++next.version;
+  merge_section(
+      body, "services", next.services,
+      [](const auto& object, const auto& path, auto& out) {
+        return std::make_shared<const service>(
+            read_service(object, path, out));
+      },
+      faults);
+  merge_section(
+      body, "accounts", next.accounts,
+      [](const auto& object, const auto& path, auto& out) {
+        return std::make_shared<const client_account>(
+            read_account(object, path, out));
+      },
+      faults);
+  merge_section(body, "vms", next.vms, read_vm, faults);
+  check_references(next, faults);
+  check_tokens(body, next, faults);
+  if (!faults.empty()) return faults;
+  return next;
+}
+
+auto parse_configuration(std::string_view text)
+    -> std::optional<configuration> {
+  auto body = json::parse(text, nullptr, false);
+  if (!body.is_object() || !body.contains("version"))
+    return fail("config.parse", "text", "not a configuration");
+  const auto version = body["version"].get<std::uint64_t>();
+  body.erase("version");
+  auto outcome = apply_patch({}, body.dump());
+  if (auto* faults = std::get_if<std::vector<field_fault>>(&outcome))
+    return fail("config.parse", "text", describe(*faults));
+  auto result = std::get<configuration>(std::move(outcome));
+  result.version = version;
+  return result;
+}
+
+auto describe(const std::vector<field_fault>& faults) -> std::string {
+  std::string text;
+  for (const auto& fault : faults)
+    text += (text.empty() ? "" : "; ") + fault.path + ": " + fault.reason;
+  return text;
+}
+
+}  // namespace pollenloft
--- /dev/null
+++ b/src/control.cpp
@@ -0,0 +1,430 @@
+#include "pollenloft/control.hpp"
+
+#include <algorithm>
+
+namespace pollenloft {
+
+namespace {
+
+constexpr std::size_t gone_records_kept = 4096;
+
+auto claim_id(const std::string& account, const std::string& key)
+    -> std::string {
+  return std::to_string(account.size()) + ":" + account + key;
+}
+
+auto version_of(const configuration& config) -> std::int64_t {
+  return static_cast<std::int64_t>(config.version);
+}
+
+auto to_verdict(const wire::patch_result& result) -> patch_verdict {
+  if (!result.refusal.empty()) return patch_refused{result.refusal};
+  return patch_accepted{static_cast<std::uint64_t>(result.version)};
+}
+
+}  // namespace
+
+auto control_state::apply(std::string_view bytes) -> command_reply {
+  auto command = decode_wire<wire::command>(bytes);
+  if (!command) return {};
+  if (command->__isset.patch) return apply_patch_command(command->patch);
+  if (command->__isset.claim) return apply_claim(std::move(command->claim));
+  if (command->__isset.settle) apply_settle(command->settle);
+  if (command->__isset.abandon) apply_abandon(command->abandon);
+  if (command->__isset.blame) apply_blame(command->blame);
+  return {};
+}
+
+auto control_state::earlier_verdict(const std::string& patch_id) const
+    -> std::optional<patch_verdict> {
+  const auto found = results_.find(patch_id);
+  if (found == results_.end()) return std::nullopt;
+  return to_verdict(found->second);
+}
+
+auto control_state::apply_patch_command(const wire::patch_command& patch)
+    -> patch_verdict {
+  if (auto earlier = earlier_verdict(patch.id)) return *earlier;
+  auto verdict = [&]() -> patch_verdict {
+    if (patch.base != version_of(config_))
+      return patch_refused{
+          "base " + std::to_string(patch.base) + " was beaten by version " +
+          std::to_string(config_.version) +
+          (tail_.empty() ? "" : " (patch " + tail_.back().id + ")")};
+    auto outcome = apply_patch(config_, patch.body);
+    if (auto* faults = std::get_if<std::vector<field_fault>>(&outcome))
+      return patch_refused{describe(*faults)};
+    config_ = std::get<configuration>(std::move(outcome));
+    return patch_accepted{config_.version};
+  }();
+  remember(patch, verdict);
+  return verdict;
+}
+
+auto control_state::remember(const wire::patch_command& patch,
+                             const patch_verdict& verdict) -> void {
+  wire::patch_result result;
+  result.id = patch.id;
+  result.version = version_of(config_);
+  wire::audit_record record;
+  record.at_ms = patch.at_ms;
+  record.who = patch.who;
+  record.what = "patch " + patch.id;
+  record.base = patch.base;
+  record.version = version_of(config_);
+  record.result = "accepted";
+  if (const auto* refused = std::get_if<patch_refused>(&verdict)) {
+    result.refusal = refused->reason;
+    record.result = "refused: " + refused->reason;
+  } else {
+    wire::version_record version;
+    version.version = version_of(config_);
+    version.id = patch.id;
+    version.body = patch.body;
+    tail_.push_back(std::move(version));
+    if (tail_.size() > limits_.version_tail) tail_.pop_front();
+  }
+  results_[patch.id] = std::move(result);
+  result_order_.push_back(patch.id);
+  if (result_order_.size() > limits_.patch_results) {
+    results_.erase(result_order_.front());
+    result_order_.pop_front();
+  }
+  audit_.push_back(std::move(record));
+  if (audit_.size() > limits_.audit_records) audit_.pop_front();
+}
+
+auto control_state::patches_after(std::uint64_t version) const
+    -> std::optional<std::vector<wire::version_record>> {
+  if (version == config_.version) return std::vector<wire::version_record>();
+  if (version > config_.version || tail_.empty() ||
+      static_cast<std::uint64_t>(tail_.front().version) > version + 1)
+    return std::nullopt;
+  const auto skip = version + 1 -
+                    static_cast<std::uint64_t>(tail_.front().version);
+  return std::vector<wire::version_record>(
+      tail_.begin() + static_cast<std::ptrdiff_t>(skip), tail_.end());
+}
+
+auto control_state::find_claim(const std::string& account,
+                               const std::string& key) const
+    -> const wire::claim_record* {
+  const auto found = claims_.find(claim_id(account, key));
+  return found == claims_.end() ? nullptr : &found->second;
+}
+
+auto control_state::claim_holders() const -> std::vector<std::string> {
+  std::vector<std::string> holders;
+  for (const auto& [holder, ids] : open_by_holder_) holders.push_back(holder);
+  return holders;
+}
+
+auto control_state::apply_claim(wire::claim_record claim)
+    -> wire::claim_reply {
+  expire(milliseconds(claim.at_ms));
+  wire::claim_reply reply;
+  const auto id = claim_id(claim.account, claim.key);
+  const auto found = claims_.find(id);
+  if (found == claims_.end()) {
+    if (claims_.size() >= limits_.claims) {
+      reply.answer = static_cast<std::int8_t>(claim_answer::refused);
+      return reply;
+    }
+    claim.state = static_cast<std::int8_t>(claim_state::open);
+    open_by_holder_[claim.holder].insert(id);
+    claim_order_.emplace_back(claim.at_ms, id);
+    reply.answer = static_cast<std::int8_t>(claim_answer::granted);
+    reply.record = claim;
+    claims_[id] = std::move(claim);
+    return reply;
+  }
+  reply.record = found->second;
+  const auto open =
+      found->second.state == static_cast<std::int8_t>(claim_state::open);
+  auto answer = open ? claim_answer::open : claim_answer::settled;
+  // The same dispatch asks again when the answer to its claim was lost.
+  if (open && found->second.dispatch == claim.dispatch)
+    answer = claim_answer::granted;
+  if (found->second.fingerprint != claim.fingerprint)
+    answer = claim_answer::mismatch;
+  reply.answer = static_cast<std::int8_t>(answer);
+  return reply;
+}
+
+auto control_state::apply_settle(const wire::settle_command& settle) -> void {
+  expire(milliseconds(settle.at_ms));
+  const auto id = claim_id(settle.account, settle.key);
+  const auto found = claims_.find(id);
+  if (found == claims_.end() || found->second.dispatch != settle.dispatch)
+    return;
+  auto& claim = found->second;
+  if (claim.state == static_cast<std::int8_t>(claim_state::completed)) return;
+  const auto holder = open_by_holder_.find(claim.holder);
+  if (holder != open_by_holder_.end()) {
+    holder->second.erase(id);
+    if (holder->second.empty()) open_by_holder_.erase(holder);
+  }
+  // Settling as open means: provably not run, the key is free again.
+  if (settle.state == static_cast<std::int8_t>(claim_state::open)) {
+    claims_.erase(found);
+    return;
+  }
+  claim.state = settle.state;
+  claim.status = settle.status;
+  if (settle.body.size() <= limits_.claim_body_bytes) claim.body = settle.body;
+}
+
+auto control_state::apply_abandon(const wire::abandon_command& abandon)
+    -> void {
+  const auto holder = open_by_holder_.find(abandon.holder);
+  if (holder == open_by_holder_.end()) return;
+  for (const auto& id : holder->second)
+    claims_[id].state = static_cast<std::int8_t>(claim_state::unknown);
+  open_by_holder_.erase(holder);
+}
+
+auto control_state::apply_blame(const wire::blame_command& blame) -> void {
+  expire(milliseconds(blame.at_ms));
+  auto& record = blames_[blame.fingerprint];
+  record.fingerprint = blame.fingerprint;
+  record.at_ms = blame.at_ms;
+  auto& endpoints = record.endpoints;
+  if (std::find(endpoints.begin(), endpoints.end(), blame.endpoint) ==
+      endpoints.end())
+    endpoints.push_back(blame.endpoint);
+}
+
+auto control_state::blames(std::uint64_t fingerprint) const -> std::size_t {
+  const auto found = blames_.find(static_cast<std::int64_t>(fingerprint));
+  return found == blames_.end() ? 0 : found->second.endpoints.size();
+}
+
+auto control_state::all_blames() const -> std::vector<wire::blame_record> {
+  std::vector<wire::blame_record> records;
+  for (const auto& [fingerprint, record] : blames_) records.push_back(record);
+  return records;
+}
+
+/// Times come from the entries, so that every replica expires alike.
+auto control_state::expire(milliseconds now) -> void {
+  while (!claim_order_.empty() &&
+         milliseconds(claim_order_.front().first) + limits_.claim_retention <
+             now) {
+    const auto found = claims_.find(claim_order_.front().second);
+    // A key freed and claimed again has a later place in the order.
+    if (found != claims_.end() &&
+        found->second.at_ms == claim_order_.front().first) {
+      const auto holder = open_by_holder_.find(found->second.holder);
+      if (holder != open_by_holder_.end()) {
+        holder->second.erase(found->first);
+        if (holder->second.empty()) open_by_holder_.erase(holder);
+      }
+      claims_.erase(found);
+    }
+    claim_order_.pop_front();
+  }
+  for (auto it = blames_.begin(); it != blames_.end();) {
+    const auto old =
+        milliseconds(it->second.at_ms) + limits_.blame_retention < now;
+    it = old ? blames_.erase(it) : std::next(it);
+  }
+}
+
+auto control_state::save() const -> std::string {
+  wire::control_snapshot out;
+  out.version = version_of(config_);
+  out.configuration = config_.text();
+  out.tail.assign(tail_.begin(), tail_.end());
+  for (const auto& id : result_order_) out.results.push_back(results_.at(id));
+  out.audit.assign(audit_.begin(), audit_.end());
+  std::set<std::string> saved;
+  for (const auto& [at, id] : claim_order_) {
+    const auto found = claims_.find(id);
+    if (found != claims_.end() && found->second.at_ms == at &&
+        saved.insert(id).second)
+      out.claims.push_back(found->second);
+  }
+  out.blames = all_blames();
+  return encode_wire(out);
+}
+
+auto control_state::load(std::string_view bytes) -> std::optional<bool> {
+  auto in = decode_wire<wire::control_snapshot>(bytes);
+  if (!in) return std::nullopt;
+  auto config = parse_configuration(in->configuration);
+  if (!config) return std::nullopt;
+  *this = control_state(limits_);
+  config_ = std::move(*config);
+  tail_.assign(in->tail.begin(), in->tail.end());
+  for (auto& result : in->results) {
+    result_order_.push_back(result.id);
+    results_[result.id] = result;
+  }
+  audit_.assign(in->audit.begin(), in->audit.end());
+  for (auto& claim : in->claims) {
+    const auto id = claim_id(claim.account, claim.key);
+    claim_order_.emplace_back(claim.at_ms, id);
+    if (claim.state == static_cast<std::int8_t>(claim_state::open))
+      open_by_holder_[claim.holder].insert(id);
+    claims_[id] = std::move(claim);
+  }
+  for (auto& blame : in->blames) blames_[blame.fingerprint] = std::move(blame);
+  return true;
+}
+
+auto lease_table::start_term(instant now) -> void {
+  holders_.clear();
+  unknown_until_ = now + lease_;
+}
+
+auto lease_table::renew(const wire::renew_request& request, instant now)
+    -> void {
+  auto& entry = holders_[request.vm];
+  entry.incarnation = request.incarnation;
+  entry.zone = request.zone;
+  entry.address = request.address;
+  entry.expires = now + lease_;
+  entry.in_force = static_cast<std::uint64_t>(request.in_force);
+  entry.draining = request.draining;
+  entry.usage.clear();
+  for (const auto& usage : request.usage)
+    entry.usage[usage.account] = usage.cost;
+}
+
+auto lease_table::in_force_everywhere(std::uint64_t version, instant now) const
+    -> bool {
+  if (!settled(now)) return false;
+  return std::all_of(holders_.begin(), holders_.end(), [&](const auto& item) {
+    const auto& entry = item.second;
+    return entry.in_force >= version || now >= entry.expires;
+  });
+}
+
+auto lease_table::take_expired(instant now) -> std::vector<std::string> {
+  std::vector<std::string> expired;
+  for (auto it = holders_.begin(); it != holders_.end();) {
+    if (now < it->second.expires) {
+      ++it;
+      continue;
+    }
+    expired.push_back(it->first);
+    it = holders_.erase(it);
+  }
+  return expired;
+}
+
+auto lease_table::live_count(instant now) const -> std::size_t {
+  return static_cast<std::size_t>(
+      std::count_if(holders_.begin(), holders_.end(), [&](const auto& item) {
+        return now < item.second.expires;
+      }));
+}
+
+auto lease_table::is_live(const std::string& incarnation, instant now) const
+    -> bool {
+  return std::any_of(holders_.begin(), holders_.end(), [&](const auto& item) {
+    return item.second.incarnation == incarnation &&
+           now < item.second.expires;
+  });
+}
+
+auto lease_table::heaviest(std::size_t most, instant now) const
+    -> std::vector<wire::account_usage> {
+  std::map<std::string, double> sums;
+  for (const auto& [vm, entry] : holders_)
+    if (now < entry.expires)
+      for (const auto& [account, cost] : entry.usage) sums[account] += cost;
+  std::vector<wire::account_usage> result;
+  for (const auto& [account, cost] : sums) {
+    wire::account_usage usage;
+    usage.account = account;
+    usage.cost = cost;
+    result.push_back(std::move(usage));
+  }
+  std::sort(result.begin(), result.end(),
+            [](const auto& a, const auto& b) { return a.cost > b.cost; });
+  if (result.size() > most) result.resize(most);
+  return result;
+}
+
+auto endpoint_directory::touch(wire::endpoint_record& record) -> void {
+  by_sequence_.erase(record.sequence);
+  record.sequence = ++sequence_;
+  by_sequence_[sequence_] = record.id;
+}
+
+auto endpoint_directory::merge(
+    const std::vector<wire::endpoint_record>& records) -> void {
+  for (const auto& report : records) {
+    const auto found = records_.find(report.id);
+    if (found != records_.end()) {
+      auto& known = found->second;
+      if (report.incarnation < known.incarnation) continue;
+      // Within one incarnation an endpoint only moves towards gone.
+      if (report.incarnation == known.incarnation &&
+          report.state < known.state)
+        continue;
+      // A VM that lost the endpoint to another one cannot end it.
+      const auto ended =
+          report.state == static_cast<std::int8_t>(endpoint_state::gone);
+      if (ended && report.owner != known.owner) continue;
+      orphans_.erase(report.id);
+      auto next = report;
+      next.sequence = known.sequence;
+      if (next == known) continue;
+      known = std::move(next);
+      touch(known);
+      continue;
+    }
+    auto& added = records_[report.id];
+    added = report;
+    added.sequence = 0;
+    touch(added);
+  }
+}
+
+auto endpoint_directory::orphan(const std::string& vm, instant now) -> void {
+  for (const auto& [id, record] : records_)
+    if (record.owner == vm) orphans_.emplace(id, now);
+}
+
+auto endpoint_directory::drop_orphans(instant now, duration grace) -> void {
+  for (auto it = orphans_.begin(); it != orphans_.end();) {
+    if (now - it->second < grace) {
+      ++it;
+      continue;
+    }
+    auto& record = records_[it->first];
+    record.state = static_cast<std::int8_t>(endpoint_state::gone);
+    touch(record);
+    it = orphans_.erase(it);
+  }
+  // The oldest records of gone endpoints are forgotten.
+  for (auto it = by_sequence_.begin();
+       records_.size() > gone_records_kept && it != by_sequence_.end();) {
+    const auto found = records_.find(it->second);
+    if (found->second.state != static_cast<std::int8_t>(endpoint_state::gone)) {
+      ++it;
+      continue;
+    }
+    records_.erase(found);
+    it = by_sequence_.erase(it);
+  }
+}
+
+auto endpoint_directory::clear() -> void {
+  records_.clear();
+  by_sequence_.clear();
+  orphans_.clear();
+}
+
+auto endpoint_directory::changes_after(std::int64_t sequence) const
+    -> std::vector<wire::endpoint_record> {
+  std::vector<wire::endpoint_record> changes;
+  for (auto it = by_sequence_.upper_bound(sequence); it != by_sequence_.end();
+       ++it)
+    changes.push_back(records_.at(it->second));
+  return changes;
+}
+
+}  // namespace pollenloft
--- /dev/null
+++ b/src/controld.cpp
@@ -0,0 +1,724 @@
+/// pollenloft-controld: the control role. Replicates the configuration and
+/// the claims over the VMs with disks, grants configuration leases and keeps
+/// the endpoint directory.
+#include <signal.h>
+
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "pollenloft/control.hpp"
+#include "pollenloft/journal.hpp"
+#include "pollenloft/net.hpp"
+#include "pollenloft/settings.hpp"
+#include "pollenloft/telemetry.hpp"
+
+namespace pollenloft {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr auto tick_period = milliseconds(20);
+constexpr auto peer_timeout = milliseconds(400);
+constexpr auto orphan_grace = std::chrono::seconds(3);
+constexpr auto patch_wait = std::chrono::seconds(8);
+constexpr std::size_t peer_queue = 64;         // message batches to one peer
+constexpr std::size_t pending_claims = 20000;  // proposals not yet committed
+constexpr std::size_t heavy_accounts = 16;
+constexpr std::size_t blames_sent = 100;
+constexpr std::uint64_t compact_bytes = 4 * 1024 * 1024;
+
+const std::vector<setting> known_settings{
+    {"id", "", nonempty_text{}, "number of this replica, a key of --peers"},
+    {"listen", "", one_address{}, "address to serve on"},
+    {"peers", "", address_list{}, "all replicas, id=a.b.c.d:port,..."},
+    {"data", "", nonempty_text{}, "folder for the replicated log"},
+    {"lease-ms", "1500", number_in{300, 60000}, "configuration lease"},
+    {"heartbeat-ms", "100", number_in{10, 5000}, "leader's heartbeat"},
+    {"election-ms", "300", number_in{50, 30000},
+     "least time without a leader before an election; at most half the lease"},
+    {"log-level", "info", one_of{{"debug", "info", "warning", "error"}},
+     "lowest level written"}};
+
+auto json_reply(const exchange_ptr& call, int status, const json& body)
+    -> void {
+  http_headers headers;
+  headers.add("Content-Type", "application/json");
+  call->reply(status, headers, body.dump() + "\n");
+}
+
+template <class Message>
+auto wire_reply(const exchange_ptr& call, const Message& message) -> void {
+  http_headers headers;
+  headers.add("Content-Type", "application/x-thrift");
+  call->reply(200, headers, encode_wire(message));
+}
+
+class control_server {
+ public:
+  control_server(event_loop& loop, const settings& given, journal disk)
+      : loop_(loop),
+        client_(loop),
+        server_(loop, http_limits{},
+                [this](const exchange_ptr& call) { route(call); }),
+        disk_(std::move(disk)),
+        peers_(given.addresses("peers")),
+        id_(static_cast<replica_id>(given.number("id"))),
+        leases_(given.millis("lease-ms")),
+        replica_(make_options(given), disk_.take_found(),
+                 boottime_clock::now()) {}
+
+  auto start(const socket_address& listen) -> std::optional<bool> {
+    if (!server_.listen(listen)) return std::nullopt;
+    ticker_ = loop_.every(tick_period, [this] { tick(); });
+    schedule_flush();
+    return true;
+  }
+
+  auto shut_down() -> void {
+    replica_.transfer_leadership();
+    flush();
+    stopping_ = loop_.after(peer_timeout / 2, [this] { loop_.stop(); });
+  }
+
+  auto failed() const -> bool { return failed_; }
+
+ private:
+  using reply_slot = sigc::slot<void(const std::optional<command_reply>&)>;
+  struct pending_command {
+    std::string bytes;
+    reply_slot done;
+  };
+  struct pending_entry {
+    log_term term;
+    reply_slot done;
+  };
+  struct waiting_renewal {
+    exchange_ptr call;
+    wire::renew_request request;
+    instant due;
+  };
+  struct waiting_patch {
+    exchange_ptr call;
+    std::uint64_t version;
+    instant due;
+  };
+
+  static auto make_options(const settings& given) -> replica_options {
+    replica_options options;
+    options.id = static_cast<replica_id>(given.number("id"));
+    for (const auto& [id, address] : given.addresses("peers"))
+      options.members.push_back(
+          static_cast<replica_id>(parse_number(id).value_or(0)));
+    options.heartbeat = given.millis("heartbeat-ms");
+    options.election_min = given.millis("election-ms");
+    options.election_max = 2 * options.election_min;
+    options.seed = static_cast<std::uint64_t>(
+        boottime_clock::now().time_since_epoch().count());
+    return options;
+  }
+
+  auto leader_address() const -> std::string {
+    const auto found = peers_.find(std::to_string(replica_.leader()));
+    return found == peers_.end() ? "" : found->second.text();
+  }
+
+  /// This replica leads, its state is complete and no other can lead yet.
+  auto in_charge() const -> bool {
+    return replica_.established() &&
+           boottime_clock::now() < replica_.leads_until();
+  }
+
+  // --- replication -------------------------------------------------------
+
+  auto tick() -> void {
+    const auto now = boottime_clock::now();
+    replica_.tick(now);
+    note_role(now);
+    if (in_charge()) lead(now);
+    answer_renewals(now);
+    answer_patches(now);
+    schedule_flush();
+  }
+
+  auto note_role(instant now) -> void {
+    if (replica_.role() == role_ && replica_.term() == noted_term_) return;
+    const auto leads = replica_.role() == replica_role::leader;
+    const auto led = role_ == replica_role::leader;
+    role_ = replica_.role();
+    noted_term_ = replica_.term();
+    log_event(log_level::info, "role.changed",
+              {{"role", role_name()}, {"term", replica_.term()},
+               {"leader", replica_.leader()}});
+    if (leads) {
+      leases_.start_term(now);
+      directory_.clear();
+    }
+    if (led) fail_pending();
+  }
+
+  auto role_name() const -> std::string {
+    switch (replica_.role()) {
+      case replica_role::recovering:
+        return "recovering";
+      case replica_role::follower:
+        return replica_.voting() ? "follower" : "catching-up";
+      case replica_role::candidate:
+        return "candidate";
+      default:
+        return "leader";
+    }
+  }
+
+  auto lead(instant now) -> void {
+    for (const auto& vm : leases_.take_expired(now)) {
+      log_event(log_level::warning, "lease.expired", {{"vm", vm}});
+      directory_.orphan(vm, now);
+    }
+    directory_.drop_orphans(now, orphan_grace);
+    if (!leases_.settled(now)) return;
+    for (const auto& holder : state_.claim_holders()) {
+      if (leases_.is_live(holder, now)) continue;
+      if (!abandoning_.insert(holder).second) continue;
+      wire::command command;
+      command.__isset.abandon = true;
+      command.abandon.holder = holder;
+      command.abandon.at_ms = wall_clock().count();
+      submit(command, [this, holder](const auto& /*reply*/) {
+        abandoning_.erase(holder);
+      });
+    }
+  }
+
+  auto submit(const wire::command& command, reply_slot done) -> void {
+    commands_.push_back({encode_wire(command), std::move(done)});
+    schedule_flush();
+  }
+
+  auto schedule_flush() -> void {
+    if (flush_posted_) return;
+    flush_posted_ = true;
+    loop_.post([this] { flush(); });
+  }
+
+  auto flush() -> void {
+    flush_posted_ = false;
+    propose_commands();
+    while (!failed_) {
+      auto effects = replica_.take_effects();
+      if (effects.empty()) break;
+      if (!disk_.store(effects)) return fail_disk();
+      send_messages(effects.messages);
+      if (effects.restore && !state_.load(effects.restore->data))
+        return fail_disk();
+      for (const auto& entry : effects.committed) apply(entry);
+    }
+    note_role(boottime_clock::now());
+    compact();
+  }
+
+  /// A disk that failed a write may hold less than was promised.
+  auto fail_disk() -> void {
+    log_failure("disk.failed", last_error());
+    failed_ = true;
+    loop_.stop();
+  }
+
+  auto propose_commands() -> void {
+    if (commands_.empty()) return;
+    auto batch = std::exchange(commands_, {});
+    std::vector<std::string> bytes;
+    for (auto& command : batch) bytes.push_back(std::move(command.bytes));
+    const auto first =
+        replica_.propose(std::move(bytes), boottime_clock::now());
+    for (std::size_t i = 0; i < batch.size(); ++i) {
+      if (first)
+        pending_[*first + i] = {replica_.term(), std::move(batch[i].done)};
+      else
+        batch[i].done(std::nullopt);
+    }
+  }
+
+  auto apply(const log_entry& entry) -> void {
+    command_reply reply;
+    if (entry.kind == entry_kind::command) reply = state_.apply(entry.data);
+    const auto found = pending_.find(entry.index);
+    if (found != pending_.end()) {
+      auto waiting = std::move(found->second);
+      pending_.erase(found);
+      if (waiting.term == entry.term)
+        waiting.done(reply);
+      else
+        waiting.done(std::nullopt);
+    }
+    schedule_wake();
+  }
+
+  auto fail_pending() -> void {
+    for (auto& [index, waiting] : std::exchange(pending_, {}))
+      waiting.done(std::nullopt);
+    for (auto& waiting : std::exchange(patches_, {}))
+      refuse_not_leader(waiting.call);
+  }
+
+  auto compact() -> void {
+    if (disk_.log_bytes() < std::max(compact_bytes, 2 * snapshot_bytes_))
+      return;
+    const auto& snapshot =
+        replica_.compact(replica_.commit_index(), state_.save());
+    std::vector<log_entry> tail;
+    for (auto i = replica_.first_index(); i <= replica_.last_index(); ++i)
+      tail.push_back(*replica_.entry_at(i));
+    if (!disk_.store_snapshot(snapshot, tail)) return fail_disk();
+    snapshot_bytes_ = snapshot.data.size();
+    log_event(log_level::info, "log.compacted",
+              {{"index", snapshot.index}, {"bytes", snapshot_bytes_}});
+  }
+
+  auto send_messages(const std::vector<replica_message>& messages) -> void {
+    std::map<replica_id, wire::message_batch> batches;
+    for (const auto& message : messages)
+      batches[message.to].messages.push_back(to_wire(message));
+    for (const auto& [to, batch] : batches) send_batch(to, batch);
+  }
+
+  auto send_batch(replica_id to, const wire::message_batch& batch) -> void {
+    const auto found = peers_.find(std::to_string(to));
+    auto& waiting = in_flight_[to];
+    if (found == peers_.end() || waiting >= peer_queue) return;
+    ++waiting;
+    http_call call{found->second, "POST", "/peer", {}, encode_wire(batch),
+                   peer_timeout, true};
+    control_bytes_ += call.body.size();
+    client_.send(call, {{}, {}, [this, to](const auto& /*result*/, auto) {
+                          --in_flight_[to];
+                        }});
+  }
+
+  // --- requests ----------------------------------------------------------
+
+  auto route(const exchange_ptr& call) -> void {
+    const auto& path = call->request().path;
+    const auto post = call->request().method == "POST";
+    if (post && path == "/peer") return take_messages(call);
+    if (post && path == "/control/renew") return take_renewal(call);
+    if (post && path == "/control/report") return take_report(call);
+    if (post && path == "/control/claim") return take_claim(call);
+    if (post && path == "/control/settle") return take_settle(call);
+    if (post && path == "/control/blame") return take_blame(call);
+    if (path == "/healthz") return call->reply(200, {}, "ok\n");
+    if (path == "/metrics") return show_metrics(call);
+    if (path == "/v1/status/local") return show_status(call);
+    if (!in_charge()) return refuse_not_leader(call);
+    if (path == "/v1/status") return show_status(call);
+    if (post && path == "/v1/config/patches") return take_patch(call);
+    if (post && path == "/v1/members") return take_members(call);
+    if (path == "/v1/config") return show_config(call);
+    if (path == "/v1/config/history") return show_history(call);
+    if (path == "/v1/audit") return show_audit(call);
+    if (path == "/v1/endpoints") return show_endpoints(call);
+    json_reply(call, 404, {{"error", "no such resource: " + path}});
+  }
+
+  auto refuse_not_leader(const exchange_ptr& call) -> void {
+    json_reply(call, 421,
+               {{"error", "this VM does not lead"},
+                {"leader", leader_address()}});
+  }
+
+  template <class Message>
+  auto decode_body(const exchange_ptr& call) -> std::optional<Message> {
+    auto message = decode_wire<Message>(call->request().body);
+    if (!message) json_reply(call, 400, {{"error", last_error().text()}});
+    return message;
+  }
+
+  auto take_messages(const exchange_ptr& call) -> void {
+    auto batch = decode_body<wire::message_batch>(call);
+    if (!batch) return;
+    call->reply(200, {}, "");
+    for (auto& message : batch->messages) {
+      auto decoded = from_wire(std::move(message));
+      if (decoded && decoded->to == id_)
+        replica_.receive(*decoded, boottime_clock::now());
+    }
+    schedule_flush();
+  }
+
+  auto take_renewal(const exchange_ptr& call) -> void {
+    const auto now = boottime_clock::now();
+    auto request = decode_body<wire::renew_request>(call);
+    if (!request) return;
+    ++renewals_;
+    if (!in_charge()) return answer_renewal(call, *request);
+    leases_.renew(*request, now);
+    if (request->first || news_for(*request)) {
+      answer_renewal(call, *request);
+      return schedule_wake();
+    }
+    waiting_.push_back({call, std::move(*request), now + leases_.lease() / 4});
+    schedule_wake();
+  }
+
+  auto news_for(const wire::renew_request& request) const -> bool {
+    return static_cast<std::uint64_t>(request.in_force) !=
+               state_.config().version ||
+           request.term != static_cast<std::int64_t>(replica_.term()) ||
+           request.directory_sequence != directory_.sequence();
+  }
+
+  auto schedule_wake() -> void {
+    if (wake_posted_) return;
+    wake_posted_ = true;
+    loop_.post([this] {
+      wake_posted_ = false;
+      const auto now = boottime_clock::now();
+      answer_renewals(now);
+      answer_patches(now);
+    });
+  }
+
+  auto answer_renewals(instant now) -> void {
+    const auto lost = !in_charge();
+    std::vector<waiting_renewal> still;
+    for (auto& waiting : std::exchange(waiting_, {})) {
+      if (lost || now >= waiting.due || news_for(waiting.request))
+        answer_renewal(waiting.call, waiting.request);
+      else
+        still.push_back(std::move(waiting));
+    }
+    waiting_.insert(waiting_.end(), std::make_move_iterator(still.begin()),
+                    std::make_move_iterator(still.end()));
+  }
+
+  auto answer_renewal(const exchange_ptr& call,
+                      const wire::renew_request& request) -> void {
+    wire::renew_reply reply;
+    reply.leader = leader_address();
+    reply.term = static_cast<std::int64_t>(replica_.term());
+    if (!in_charge()) return wire_reply(call, reply);
+    const auto now = boottime_clock::now();
+    reply.granted = true;
+    reply.lease_ms =
+        std::chrono::duration_cast<milliseconds>(leases_.lease()).count();
+    reply.version = static_cast<std::int64_t>(state_.config().version);
+    const auto in_force = static_cast<std::uint64_t>(request.in_force);
+    if (auto patches = state_.patches_after(in_force))
+      reply.patches = std::move(*patches);
+    else
+      reply.configuration = state_.config().text();
+    reply.directory_full = request.term != reply.term;
+    reply.directory_sequence = directory_.sequence();
+    reply.endpoints = directory_.changes_after(
+        reply.directory_full ? 0 : request.directory_sequence);
+    reply.vm_count = static_cast<std::int32_t>(leases_.live_count(now));
+    reply.usage = leases_.heaviest(heavy_accounts, now);
+    reply.blames = state_.all_blames();
+    if (reply.blames.size() > blames_sent) reply.blames.resize(blames_sent);
+    wire_reply(call, reply);
+  }
+
+  auto take_report(const exchange_ptr& call) -> void {
+    auto request = decode_body<wire::report_request>(call);
+    if (!request) return;
+    wire::report_reply reply;
+    reply.leader = leader_address();
+    reply.accepted = in_charge();
+    if (reply.accepted) directory_.merge(request->endpoints);
+    wire_reply(call, reply);
+    schedule_wake();
+  }
+
+  auto take_claim(const exchange_ptr& call) -> void {
+    auto claim = decode_body<wire::claim_record>(call);
+    if (!claim) return;
+    if (!in_charge() || pending_.size() >= pending_claims) {
+      wire::claim_reply reply;
+      reply.answer = static_cast<std::int8_t>(
+          in_charge() ? claim_answer::refused : claim_answer::not_leader);
+      reply.leader = leader_address();
+      return wire_reply(call, reply);
+    }
+    wire::command command;
+    command.__isset.claim = true;
+    command.claim = std::move(*claim);
+    command.claim.at_ms = wall_clock().count();
+    submit(command, [this, call](const auto& reply) {
+      wire::claim_reply answer;
+      answer.answer = static_cast<std::int8_t>(claim_answer::not_leader);
+      answer.leader = leader_address();
+      if (reply)
+        if (const auto* made = std::get_if<wire::claim_reply>(&*reply))
+          answer = *made;
+      wire_reply(call, answer);
+    });
+  }
+
+  auto take_settle(const exchange_ptr& call) -> void {
+    auto settle = decode_body<wire::settle_command>(call);
+    if (!settle) return;
+    wire::command command;
+    command.__isset.settle = true;
+    command.settle = std::move(*settle);
+    command.settle.at_ms = wall_clock().count();
+    record(call, command);
+  }
+
+  auto take_blame(const exchange_ptr& call) -> void {
+    auto blame = decode_body<wire::blame_command>(call);
+    if (!blame) return;
+    wire::command command;
+    command.__isset.blame = true;
+    command.blame = std::move(*blame);
+    command.blame.at_ms = wall_clock().count();
+    record(call, command);
+  }
+
+  /// Commits a command whose only answer is that it was recorded.
+  auto record(const exchange_ptr& call, const wire::command& command) -> void {
+    wire::settle_reply answer;
+    answer.leader = leader_address();
+    if (!in_charge()) return wire_reply(call, answer);
+    submit(command, [call, answer](const auto& reply) mutable {
+      answer.accepted = reply.has_value();
+      wire_reply(call, answer);
+    });
+  }
+
+  auto take_patch(const exchange_ptr& call) -> void {
+    const auto body = json::parse(call->request().body, nullptr, false);
+    const auto sound = body.is_object() && body.contains("base") &&
+                       body["base"].is_number_unsigned() &&
+                       body.contains("id") && body["id"].is_string() &&
+                       !body["id"].get<std::string>().empty() &&
+                       body.contains("patch") && body["patch"].is_object();
+    if (!sound)
+      return json_reply(
+          call, 400,
+          {{"error", "a patch needs base (a number), id and patch"}});
+    wire::command command;
+    command.__isset.patch = true;
+    command.patch.base = body["base"].get<std::int64_t>();
+    command.patch.id = body["id"].get<std::string>();
+    command.patch.who = body.value("who", "operator");
+    command.patch.body = body["patch"].dump();
+    command.patch.at_ms = wall_clock().count();
+    submit(command, [this, call](const auto& reply) {
+      const auto* verdict = reply ? std::get_if<patch_verdict>(&*reply)
+                                  : nullptr;
+      if (verdict == nullptr) return refuse_not_leader(call);
+      answer_verdict(call, *verdict);
+    });
+  }
+
+  auto answer_verdict(const exchange_ptr& call, const patch_verdict& verdict)
+      -> void {
+    std::visit(
+        overloaded{[&](const patch_accepted& accepted) {
+                     patches_.push_back({call, accepted.version,
+                                         boottime_clock::now() + patch_wait});
+                     schedule_wake();
+                   },
+                   [&](const patch_refused& refused) {
+                     json_reply(call, 409,
+                                {{"error", refused.reason},
+                                 {"version", state_.config().version}});
+                   }},
+        verdict);
+  }
+
+  /// An accepted patch is answered once it is in force everywhere.
+  auto answer_patches(instant now) -> void {
+    std::vector<waiting_patch> still;
+    for (auto& waiting : std::exchange(patches_, {})) {
+      if (in_charge() && leases_.in_force_everywhere(waiting.version, now))
+        json_reply(waiting.call, 200, {{"version", waiting.version}});
+      else if (now >= waiting.due)
+        json_reply(waiting.call, 504,
+                   {{"error", "recorded, not yet in force everywhere"},
+                    {"version", waiting.version}});
+      else
+        still.push_back(std::move(waiting));
+    }
+    patches_ = std::move(still);
+  }
+
+  auto take_members(const exchange_ptr& call) -> void {
+    const auto body = json::parse(call->request().body, nullptr, false);
+    if (!body.is_array())
+      return json_reply(call, 400, {{"error", "a list of replica numbers"}});
+    const auto index = replica_.propose_members(
+        body.get<std::vector<replica_id>>(), boottime_clock::now());
+    if (!index) return json_reply(call, 409, {{"error", last_error().reason}});
+    pending_[*index] = {replica_.term(), [this, call](const auto& reply) {
+                          if (!reply) return refuse_not_leader(call);
+                          json_reply(call, 200,
+                                     {{"members", replica_.members()}});
+                        }};
+    schedule_flush();
+  }
+
+  // --- views -------------------------------------------------------------
+
+  auto show_config(const exchange_ptr& call) -> void {
+    json_reply(call, 200, json::parse(state_.config().text()));
+  }
+
+  auto show_history(const exchange_ptr& call) -> void {
+    auto rows = json::array();
+    const auto newest = state_.config().version;
+    for (auto from = newest > 100 ? newest - 100 : 0;; ++from) {
+      const auto patches = state_.patches_after(from);
+      if (!patches && from < newest) continue;
+      if (patches)
+        for (const auto& patch : *patches)
+          rows.push_back({{"version", patch.version},
+                          {"id", patch.id},
+                          {"patch", json::parse(patch.body)}});
+      break;
+    }
+    json_reply(call, 200, rows);
+  }
+
+  auto show_audit(const exchange_ptr& call) -> void {
+    auto rows = json::array();
+    for (const auto& record : state_.audit())
+      rows.push_back({{"at_ms", record.at_ms},
+                      {"who", record.who},
+                      {"what", record.what},
+                      {"base", record.base},
+                      {"version", record.version},
+                      {"result", record.result}});
+    json_reply(call, 200, rows);
+  }
+
+  auto show_endpoints(const exchange_ptr& call) -> void {
+    constexpr std::array<const char*, 3> states{"up", "leaving", "gone"};
+    auto rows = json::array();
+    for (const auto& [id, record] : directory_.records())
+      rows.push_back(
+          {{"id", id},
+           {"service", record.pipeline},
+           {"kind", record.kind},
+           {"zone", record.zone},
+           {"address", record.address},
+           {"layers", {record.first_layer, record.last_layer}},
+           {"owner", record.owner},
+           {"state", states.at(static_cast<std::size_t>(record.state))}});
+    json_reply(call, 200, rows);
+  }
+
+  auto show_status(const exchange_ptr& call) -> void {
+    const auto now = boottime_clock::now();
+    auto vms = json::object();
+    for (const auto& [vm, holder] : leases_.holders())
+      vms[vm] = {{"version", holder.in_force},
+                 {"zone", holder.zone},
+                 {"address", holder.address},
+                 {"draining", holder.draining},
+                 {"lease_ms", std::chrono::duration_cast<milliseconds>(
+                                  holder.expires - now)
+                                  .count()}};
+    json_reply(call, 200,
+               {{"id", id_},
+                {"role", role_name()},
+                {"in_charge", in_charge()},
+                {"term", replica_.term()},
+                {"leader", leader_address()},
+                {"commit", replica_.commit_index()},
+                {"version", state_.config().version},
+                {"members", replica_.members()},
+                {"claims", state_.claim_count()},
+                {"endpoints", directory_.size()},
+                {"vms", vms}});
+  }
+
+  auto show_metrics(const exchange_ptr& call) -> void {
+    metrics_.set("pollenloft_control_term",
+                 static_cast<double>(replica_.term()));
+    metrics_.set("pollenloft_control_leads", in_charge() ? 1 : 0);
+    metrics_.set("pollenloft_config_version",
+                 static_cast<double>(state_.config().version));
+    metrics_.set("pollenloft_claims",
+                 static_cast<double>(state_.claim_count()));
+    metrics_.set("pollenloft_renewals_total", static_cast<double>(renewals_));
+    metrics_.set("pollenloft_control_bytes_total",
+                 static_cast<double>(control_bytes_));
+    metrics_.set("pollenloft_endpoints",
+                 static_cast<double>(directory_.size()));
+    call->reply(200, {}, metrics_.text());
+  }
+
+  event_loop& loop_;
+  http_client client_;
+  http_server server_;
+  journal disk_;
+  std::map<std::string, socket_address> peers_;
+  replica_id id_;
+  lease_table leases_;
+  replica replica_;
+  control_state state_;
+  endpoint_directory directory_;
+  metrics metrics_;
+  timer ticker_;
+  timer stopping_;
+  replica_role role_ = replica_role::follower;
+  log_term noted_term_ = 0;
+  bool flush_posted_ = false;
+  bool wake_posted_ = false;
+  bool failed_ = false;
+  std::vector<pending_command> commands_;
+  std::map<log_index, pending_entry> pending_;
+  std::vector<waiting_renewal> waiting_;
+  std::vector<waiting_patch> patches_;
+  std::set<std::string> abandoning_;
+  std::map<replica_id, std::size_t> in_flight_;
+  std::uint64_t snapshot_bytes_ = 0;
+  std::uint64_t renewals_ = 0;
+  std::uint64_t control_bytes_ = 0;
+};
+
+auto check_together(const settings& given) -> bool {
+  auto sound = true;
+  if (given.addresses("peers").count(given.text("id")) == 0) {
+    std::cerr << "setting=id value=\"" << given.text("id")
+              << "\" allowed=\"a key of --peers\"\n";
+    sound = false;
+  }
+  if (2 * given.millis("election-ms") > given.millis("lease-ms")) {
+    std::cerr << "setting=election-ms value=\"" << given.text("election-ms")
+              << "\" allowed=\"at most half of lease-ms\"\n";
+    sound = false;
+  }
+  return sound;
+}
+
+auto run(int argc, char** argv) -> int {
+  auto parsed = parse_settings("pollenloft-controld [settings]",
+                               known_settings, argc, argv);
+  if (auto* code = std::get_if<int>(&parsed)) return *code;
+  const auto& given = std::get<settings>(parsed);
+  if (!check_together(given)) return 2;
+  start_logging("controld-" + given.text("id"), given.text("log-level"));
+  auto disk = journal::open(given.text("data"));
+  if (!disk) {
+    log_failure("disk.refused", last_error());
+    return 1;
+  }
+  event_loop loop;
+  control_server server(loop, given, std::move(*disk));
+  if (!server.start(given.address("listen"))) {
+    log_failure("start.failed", last_error());
+    return 1;
+  }
+  log_event(log_level::info, "started", {{"listen", given.text("listen")}});
+  const auto terminate =
+      loop.on_signal(SIGTERM, [&] { server.shut_down(); });
+  const auto interrupt = loop.on_signal(SIGINT, [&] { server.shut_down(); });
+  loop.run();
+  return server.failed() ? 1 : 0;
+}
+
+}  // namespace
+}  // namespace pollenloft
+
+auto main(int argc, char** argv) -> int { return pollenloft::run(argc, argv); }
--- /dev/null
+++ b/src/entry_server.cpp
@@ -0,0 +1,446 @@
+#include "entry_server.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace pollenloft {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr auto tick_period = milliseconds(20);
+constexpr auto unconfirmed_grace = std::chrono::seconds(3);
+constexpr auto flush_time = milliseconds(200);
+constexpr std::size_t most_requests = 8000;  // open at once
+constexpr std::size_t most_key_bytes = 200;
+constexpr std::size_t most_prompt_bytes = 256 * 1024;
+constexpr std::size_t usage_reported = 8;  // heaviest accounts of this VM
+constexpr auto usage_window = std::chrono::seconds(1);
+constexpr std::size_t crashes_to_condemn = 2;
+
+auto fault(const std::string& message) -> std::string {
+  return json{{"error", {{"message", message}}}}.dump() + "\n";
+}
+
+/// `/services/NAME/rest` gives NAME.
+auto plain_service_name(const std::string& path) -> std::string {
+  const auto from = std::string_view("/services/").size();
+  return path.substr(from, path.find('/', from) - from);
+}
+
+}  // namespace
+
+entry_server::entry_server(event_loop& loop, entry_options options,
+                           chart request_chart)
+    : loop_(loop),
+      options_(std::move(options)),
+      chart_(std::move(request_chart)),
+      incarnation_(options_.vm + "#" + std::to_string(wall_clock().count())),
+      client_(loop_),
+      server_(loop_, http_limits{},
+              [this](const exchange_ptr& call) { route(call); }),
+      control_(loop_, client_,
+               {options_.vm, incarnation_, options_.zone,
+                options_.listen.text(), options_.control}),
+      owner_(options_.vm, options_.listen.text()),
+      router_(options_.routing, options_.seed) {
+  control_.config_changed.connect([this] { apply_config(); });
+  control_.endpoints_changed.connect([this](const auto& records, bool whole) {
+    apply_endpoints(records, whole);
+  });
+  control_.leader_changed.connect([this] {
+    const auto owned = owner_.owned();
+    if (!owned.empty()) control_.report(owned);
+  });
+  control_.set_usage_source([this] { return recent_usage(); });
+  owner_.changed.connect(
+      [this](const auto& records) { control_.report(records); });
+}
+
+auto entry_server::start() -> std::optional<bool> {
+  if (!server_.listen(options_.listen)) return std::nullopt;
+  ticker_ = loop_.every(tick_period, [this] { tick(); });
+  control_.start();
+  return true;
+}
+
+auto entry_server::ready() const -> bool {
+  return phase_ == drain_phase::serving && control_.lease_valid();
+}
+
+// --- routes ----------------------------------------------------------------
+
+auto entry_server::route(const exchange_ptr& call) -> void {
+  const auto& path = call->request().path;
+  if (path == "/v1/completions") return take_completion(call);
+  if (path.rfind("/services/", 0) == 0) return take_plain(call);
+  if (path.rfind("/endpoints/", 0) == 0) return owner_.serve(call);
+  if (path == "/healthz") return call->reply(200, {}, "ok\n");
+  if (path == "/readyz")
+    return call->reply(ready() ? 200 : 503, {},
+                       ready() ? "ready\n" : "not ready\n");
+  if (path == "/metrics") return show_metrics(call);
+  refuse(call, 404, "There is no resource " + path + ".");
+}
+
+auto entry_server::refuse(const exchange_ptr& call, int status,
+                          const std::string& reason) -> void {
+  http_headers headers;
+  headers.add("Content-Type", "application/json");
+  headers.add("Pollenloft-Outcome", outcome_name(outcome::not_run));
+  if (status == 503) {
+    headers.add("Retry-After", "1");
+    headers.add("Pollenloft-Retry-After-Ms", "1000");
+  }
+  metrics_.add("pollenloft_refused_total",
+               "status=\"" + std::to_string(status) + "\"");
+  call->reply(status, headers, fault(reason));
+}
+
+auto entry_server::find_service(const std::string& name, bool model) const
+    -> std::shared_ptr<const service> {
+  const auto& services = control_.config().services;
+  const auto found = services.find(name);
+  if (found == services.end()) return nullptr;
+  const auto is_model =
+      std::holds_alternative<model_pipeline>(found->second->kind);
+  return is_model == model ? found->second : nullptr;
+}
+
+auto entry_server::read_common(const exchange_ptr& call,
+                               request_parameters& parameters) -> bool {
+  const auto& headers = call->request().headers;
+  const auto refuse_with = [&](int status, const std::string& reason) {
+    refuse(call, status, reason);
+    return false;
+  };
+  const auto bearer = headers.find("Authorization").value_or("");
+  const auto found = bearer.rfind("Bearer ", 0) == 0
+                         ? account_by_token_.find(bearer.substr(7))
+                         : account_by_token_.end();
+  if (found == account_by_token_.end())
+    return refuse_with(401, "The bearer token is not known.");
+  parameters.account = found->second;
+  if (!parameters.target->serves(parameters.account))
+    return refuse_with(403, "This client account may not use the service.");
+  const auto& account = *control_.config().accounts.at(parameters.account);
+  parameters.weight = account.weight;
+  parameters.priority = account.priority;
+
+  auto deadline = parameters.target->deadline;
+  if (const auto given = headers.find("Pollenloft-Deadline-Ms")) {
+    const auto ms = parse_number(*given);
+    if (!ms || *ms < 1)
+      return refuse_with(400,
+                         "Pollenloft-Deadline-Ms must be a number above 0.");
+    deadline = std::min(deadline, milliseconds(*ms));
+  }
+  parameters.arrived = boottime_clock::now();
+  parameters.deadline = parameters.arrived + deadline;
+  parameters.key = headers.find("Idempotency-Key").value_or("");
+  if (parameters.key.size() > most_key_bytes)
+    return refuse_with(400, "Idempotency-Key is longer than 200 bytes.");
+  const auto& method = call->request().method;
+  parameters.idempotent = parameters.target->idempotent || method == "GET" ||
+                          method == "HEAD";
+  if (headers.find("Pollenloft-Idempotent") == "no")
+    parameters.idempotent = false;
+  parameters.fingerprint =
+      hash64(call->request().body,
+             hash64(parameters.account + call->request().target));
+  return true;
+}
+
+auto entry_server::take_completion(const exchange_ptr& call) -> void {
+  if (call->request().method != "POST")
+    return refuse(call, 405, "Use POST.");
+  if (!ready() && phase_ != drain_phase::notice)
+    return refuse(call, 503, "This VM takes no new requests now.");
+  const auto body = json::parse(call->request().body, nullptr, false);
+  const auto sound = body.is_object() && body.contains("model") &&
+                     body["model"].is_string() && body.contains("prompt") &&
+                     body["prompt"].is_string();
+  if (!sound)
+    return refuse(call, 400,
+                  "The body must be a JSON object with model and prompt.");
+  request_parameters parameters;
+  parameters.service_name = body["model"].get<std::string>();
+  parameters.target = find_service(parameters.service_name, true);
+  if (!parameters.target)
+    return refuse(call, 404, "There is no such model service.");
+  parameters.prompt = body["prompt"].get<std::string>();
+  if (parameters.prompt.size() > most_prompt_bytes)
+    return refuse(call, 413, "The prompt is longer than 256 KiB.");
+  const auto most =
+      std::get<model_pipeline>(parameters.target->kind).max_tokens;
+  const auto wanted = body.contains("max_tokens") ? body["max_tokens"]
+                                                  : json(most);
+  if (!wanted.is_number_integer() || wanted.get<std::int64_t>() < 1)
+    return refuse(call, 400, "max_tokens must be a whole number above 0.");
+  parameters.max_tokens = std::min<std::int64_t>(most, wanted);
+  const auto stream = body.find("stream");
+  parameters.stream =
+      stream != body.end() && stream->is_boolean() && stream->get<bool>();
+  if (!read_common(call, parameters)) return;
+  begin(call, std::move(parameters));
+}
+
+auto entry_server::take_plain(const exchange_ptr& call) -> void {
+  if (!ready() && phase_ != drain_phase::notice)
+    return refuse(call, 503, "This VM takes no new requests now.");
+  request_parameters parameters;
+  parameters.service_name = plain_service_name(call->request().path);
+  parameters.target = find_service(parameters.service_name, false);
+  if (!parameters.target)
+    return refuse(call, 404, "There is no such plain service.");
+  if (!read_common(call, parameters)) return;
+  begin(call, std::move(parameters));
+}
+
+auto entry_server::begin(const exchange_ptr& call,
+                         request_parameters parameters) -> void {
+  if (requests_.size() >= most_requests)
+    return refuse(call, 503, "Too many requests are open on this VM.");
+  if (control_.blames(parameters.fingerprint) >= crashes_to_condemn)
+    return refuse(call, 422,
+                  "This request has crashed endpoints and is not run again.");
+  budget_.earn();
+  parameters.id = ++next_request_;
+  auto request =
+      std::make_shared<caller_request>(*this, call, std::move(parameters));
+  requests_[request->parameters().id] = request;
+  request->start();
+}
+
+auto entry_server::show_metrics(const exchange_ptr& call) -> void {
+  metrics_.set("pollenloft_requests_open",
+               static_cast<double>(requests_.size()));
+  metrics_.set("pollenloft_config_version",
+               static_cast<double>(control_.config().version));
+  metrics_.set("pollenloft_ready", ready() ? 1 : 0);
+  metrics_.set("pollenloft_endpoints_known",
+               static_cast<double>(router_.size()));
+  for (const auto& [service, queue] : queues_)
+    metrics_.set("pollenloft_queue_length", static_cast<double>(queue.size()),
+                 "service=\"" + service + "\"");
+  call->reply(200, {}, metrics_.text());
+}
+
+// --- configuration and endpoints -------------------------------------------
+
+auto entry_server::apply_config() -> void {
+  account_by_token_.clear();
+  const auto& config = control_.config();
+  for (const auto& [name, account] : config.accounts)
+    account_by_token_[account->token] = name;
+  for (const auto& [id, record] : directory_) apply_record(record);
+  const auto self = config.vms.find(options_.vm);
+  const auto drain = self != config.vms.end() && self->second.drain;
+  control_.set_draining(drain);
+  if (drain && phase_ == drain_phase::serving) phase_ = drain_phase::notice;
+  if (!drain && phase_ == drain_phase::notice) phase_ = drain_phase::serving;
+  schedule_pump();
+}
+
+auto entry_server::apply_endpoints(
+    const std::vector<wire::endpoint_record>& records, bool whole) -> void {
+  const auto now = boottime_clock::now();
+  // A new leader's directory fills as owners report; what it lacks is kept
+  // for a while.
+  if (whole)
+    for (const auto& [id, record] : directory_) unconfirmed_.emplace(id, now);
+  for (const auto& record : records) {
+    unconfirmed_.erase(record.id);
+    directory_[record.id] = record;
+    apply_record(record);
+  }
+  schedule_pump();
+}
+
+auto entry_server::apply_record(const wire::endpoint_record& record) -> void {
+  const auto up =
+      record.state == static_cast<std::int8_t>(endpoint_state::up);
+  const auto& services = control_.config().services;
+  const auto service = services.find(record.pipeline);
+  const auto allowed = service != services.end() &&
+                       service->second->carries(record.id, record.kind);
+  const auto view = to_view(record);
+  if (up && allowed && view)
+    router_.upsert(*view);
+  else
+    router_.remove(record.id);
+}
+
+auto entry_server::drop_unconfirmed() -> void {
+  const auto now = boottime_clock::now();
+  for (auto it = unconfirmed_.begin(); it != unconfirmed_.end();) {
+    if (now - it->second < unconfirmed_grace) {
+      ++it;
+      continue;
+    }
+    directory_.erase(it->first);
+    router_.remove(it->first);
+    it = unconfirmed_.erase(it);
+  }
+}
+
+// --- queues ----------------------------------------------------------------
+
+auto entry_server::queue_of(const std::string& service) -> fair_queue& {
+  const auto found = queues_.find(service);
+  if (found != queues_.end()) return found->second;
+  admission_options options;
+  options.most_queued = options_.most_queued;
+  return queues_
+      .emplace(service, fair_queue(options, hash64(service, options_.seed)))
+      .first->second;
+}
+
+auto entry_server::enqueue(const caller_request_ptr& request, bool again)
+    -> void {
+  const auto& given = request->parameters();
+  auto& queue = queue_of(given.service_name);
+  const queued_request item{given.id,       given.account,  given.weight,
+                            given.priority, request->cost(), given.deadline};
+  if (again) {
+    queue.requeue(item);
+    return schedule_pump();
+  }
+  const auto answer = queue.offer(item, boottime_clock::now());
+  if (const auto* no = std::get_if<refused>(&answer)) {
+    contended_until_ = boottime_clock::now() + usage_window;
+    return request->refuse(no->reason, no->retry_after);
+  }
+  if (const auto evicted = std::get<admitted>(answer).evicted)
+    requests_.at(*evicted)->refuse("the queue is full",
+                                   queue.retry_after(milliseconds(500)));
+  schedule_pump();
+}
+
+auto entry_server::dequeue(const caller_request_ptr& request) -> void {
+  const auto& given = request->parameters();
+  queue_of(given.service_name).remove(given.id, false);
+}
+
+auto entry_server::place_freed(const caller_request_ptr& request, double cost)
+    -> void {
+  const auto& given = request->parameters();
+  if (cost > 0) {
+    queue_of(given.service_name).finished(cost, boottime_clock::now());
+    used_[given.account] += cost;
+  }
+  schedule_pump();
+}
+
+auto entry_server::request_ended(const caller_request_ptr& request) -> void {
+  requests_.erase(request->parameters().id);
+}
+
+auto entry_server::schedule_pump() -> void {
+  if (pump_posted_) return;
+  pump_posted_ = true;
+  loop_.post([this] { pump(); });
+}
+
+auto entry_server::pump() -> void {
+  pump_posted_ = false;
+  const auto now = boottime_clock::now();
+  if (!control_.lease_valid()) {
+    if (had_lease_) log_event(log_level::warning, "lease.lost", {});
+    had_lease_ = false;
+    return refuse_queued("This VM has no configuration lease.",
+                         milliseconds(1000));
+  }
+  had_lease_ = true;
+  router_.set_vm_count(control_.vm_count());
+  for (auto& [service, queue] : queues_) pump_queue(queue, now);
+}
+
+auto entry_server::pump_queue(fair_queue& queue, instant now) -> void {
+  while (const auto id = queue.peek()) {
+    const auto request = requests_.at(*id);
+    auto wanted = request->chain_wanted();
+    auto stages = router_.choose(wanted, now);
+    // Endpoints that failed this request are better than none.
+    wanted.avoid = nullptr;
+    if (!stages) stages = router_.choose(wanted, now);
+    if (!stages) {
+      contended_until_ = now + usage_window;
+      return;
+    }
+    queue.remove(*id, true);
+    request->dispatch(std::move(*stages));
+  }
+}
+
+auto entry_server::refuse_queued(const std::string& reason,
+                                 milliseconds retry_after) -> void {
+  std::vector<caller_request_ptr> waiting;
+  for (const auto& [id, request] : requests_)
+    if (request->queued()) waiting.push_back(request);
+  for (const auto& request : waiting) {
+    dequeue(request);
+    request->refuse(reason, retry_after);
+  }
+}
+
+auto entry_server::tick() -> void {
+  const auto now = boottime_clock::now();
+  owner_.expire(now);
+  drop_unconfirmed();
+  share_heavy_accounts(now);
+  for (auto& [service, queue] : queues_) queue.advance(now);
+  pump();
+}
+
+/// Tokens a second of the heaviest accounts since the last report.
+auto entry_server::recent_usage() -> std::vector<wire::account_usage> {
+  const auto now = boottime_clock::now();
+  const auto elapsed = std::chrono::duration<double>(now - usage_from_).count();
+  std::vector<wire::account_usage> rows;
+  for (const auto& [account, tokens] : used_) {
+    wire::account_usage row;
+    row.account = account;
+    row.cost = tokens / std::max(elapsed, 0.001);
+    rows.push_back(std::move(row));
+  }
+  std::sort(rows.begin(), rows.end(),
+            [](const auto& a, const auto& b) { return a.cost > b.cost; });
+  if (rows.size() > usage_reported) rows.resize(usage_reported);
+  if (elapsed > std::chrono::duration<double>(usage_window).count()) {
+    used_.clear();
+    usage_from_ = now;
+  }
+  return rows;
+}
+
+auto entry_server::share_heavy_accounts(instant /*now*/) -> void {}
+
+// --- shutdown --------------------------------------------------------------
+
+auto entry_server::shut_down() -> void {
+  if (phase_ == drain_phase::refusing) return end_open_requests();
+  log_event(log_level::info, "drain.started", {{"open", requests_.size()}});
+  phase_ = drain_phase::notice;
+  drain_timer_ = loop_.after(options_.drain_notice, [this] {
+    phase_ = drain_phase::refusing;
+    server_.close_listener();
+    drain_timer_ = loop_.every(tick_period, [this] {
+      if (!requests_.empty() || control_.unsettled() > 0) return;
+      log_event(log_level::info, "drain.finished", {});
+      loop_.stop();
+    });
+  });
+  grace_timer_ =
+      loop_.after(options_.grace, [this] { end_open_requests(); });
+}
+
+auto entry_server::end_open_requests() -> void {
+  log_event(log_level::warning, "drain.cut", {{"open", requests_.size()}});
+  std::vector<caller_request_ptr> open;
+  for (const auto& [id, request] : requests_) open.push_back(request);
+  for (const auto& request : open) request->step(request_event::deadline);
+  drain_timer_ = loop_.after(flush_time, [this] { loop_.stop(); });
+}
+
+}  // namespace pollenloft
--- /dev/null
+++ b/src/entry_server.hpp
@@ -0,0 +1,116 @@
+/// \file entry_server.hpp
+/// An entry VM: takes callers' requests and endpoints' announcements.
+#ifndef POLLENLOFT_ENTRY_SERVER_HPP
+#define POLLENLOFT_ENTRY_SERVER_HPP
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "caller_request.hpp"
+#include "endpoint_owner.hpp"
+
+namespace pollenloft {
+
+struct entry_options {
+  std::string vm;
+  std::string zone;
+  socket_address listen;
+  std::vector<socket_address> control;
+  route_options routing;
+  milliseconds drain_notice{1000};  ///< not ready, but still serving
+  milliseconds grace{30000};        ///< then open requests are ended
+  std::size_t most_queued = 2000;   ///< requests waiting for each service
+  std::uint64_t seed = 1;
+};
+
+class entry_server : public request_host {
+ public:
+  entry_server(event_loop& loop, entry_options options, chart request_chart);
+
+  auto start() -> std::optional<bool>;
+  /// Drains and stops the loop; a second call ends open requests at once.
+  auto shut_down() -> void;
+
+  auto loop() -> event_loop& override { return loop_; }
+  auto client() -> http_client& override { return client_; }
+  auto control() -> control_client& override { return control_; }
+  auto routes() -> router& override { return router_; }
+  auto numbers() -> metrics& override { return metrics_; }
+  auto request_chart() const -> const chart& override { return chart_; }
+  auto budget() -> retry_budget& override { return budget_; }
+  auto vm_name() const -> const std::string& override { return options_.vm; }
+  auto vm_incarnation() const -> const std::string& override {
+    return incarnation_;
+  }
+  auto enqueue(const caller_request_ptr& request, bool again) -> void override;
+  auto dequeue(const caller_request_ptr& request) -> void override;
+  auto place_freed(const caller_request_ptr& request, double cost)
+      -> void override;
+  auto request_ended(const caller_request_ptr& request) -> void override;
+
+ private:
+  enum class drain_phase { serving, notice, refusing };
+
+  auto route(const exchange_ptr& call) -> void;
+  auto ready() const -> bool;
+  auto take_completion(const exchange_ptr& call) -> void;
+  auto take_plain(const exchange_ptr& call) -> void;
+  auto refuse(const exchange_ptr& call, int status, const std::string& reason)
+      -> void;
+  /// Fills in account, deadline, key; replies and returns false on a fault.
+  auto read_common(const exchange_ptr& call, request_parameters& parameters)
+      -> bool;
+  auto find_service(const std::string& name, bool model) const
+      -> std::shared_ptr<const service>;
+  auto begin(const exchange_ptr& call, request_parameters parameters) -> void;
+  auto show_metrics(const exchange_ptr& call) -> void;
+
+  auto apply_config() -> void;
+  auto apply_endpoints(const std::vector<wire::endpoint_record>& records,
+                       bool whole) -> void;
+  auto apply_record(const wire::endpoint_record& record) -> void;
+  auto drop_unconfirmed() -> void;
+  auto queue_of(const std::string& service) -> fair_queue&;
+  auto schedule_pump() -> void;
+  auto pump() -> void;
+  auto pump_queue(fair_queue& queue, instant now) -> void;
+  auto refuse_queued(const std::string& reason, milliseconds retry_after)
+      -> void;
+  auto tick() -> void;
+  auto share_heavy_accounts(instant now) -> void;
+  auto recent_usage() -> std::vector<wire::account_usage>;
+  auto end_open_requests() -> void;
+
+  event_loop& loop_;
+  entry_options options_;
+  chart chart_;
+  std::string incarnation_;
+  http_client client_;
+  http_server server_;
+  control_client control_;
+  endpoint_owner owner_;
+  router router_;
+  retry_budget budget_;
+  metrics metrics_;
+  timer ticker_;
+  timer drain_timer_;
+  timer grace_timer_;
+  drain_phase phase_ = drain_phase::serving;
+  bool pump_posted_ = false;
+  bool had_lease_ = false;
+  request_id next_request_ = 0;
+  std::map<std::string, fair_queue> queues_;
+  std::unordered_map<request_id, caller_request_ptr> requests_;
+  std::unordered_map<std::string, std::string> account_by_token_;
+  std::map<std::string, wire::endpoint_record> directory_;
+  std::map<std::string, instant> unconfirmed_;
+  std::map<std::string, double> used_;  // tokens by account since usage_from_
+  instant usage_from_{};
+  instant contended_until_{};
+};
+
+}  // namespace pollenloft
+
+#endif
--- /dev/null
+++ b/src/net.cpp
@@ -0,0 +1,523 @@
+#include "pollenloft/net.hpp"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <signal.h>
+#include <strings.h>
+
+#include <algorithm>
+#include <cstring>
+#include <deque>
+#include <utility>
+
+namespace pollenloft {
+
+namespace {
+
+auto to_timeval(duration d) -> timeval {
+  const auto us = std::chrono::duration_cast<std::chrono::microseconds>(d);
+  return {us.count() / 1000000, us.count() % 1000000};
+}
+
+auto buffer_text(evbuffer* buffer) -> std::string {
+  const auto size = evbuffer_get_length(buffer);
+  std::string text(size, '\0');
+  evbuffer_remove(buffer, text.data(), size);
+  return text;
+}
+
+auto read_headers(const evkeyvalq* source) -> http_headers {
+  http_headers headers;
+  for (const auto* kv = source->tqh_first; kv != nullptr;
+       kv = kv->next.tqe_next)
+    headers.add(kv->key, kv->value);
+  return headers;
+}
+
+auto write_headers(evkeyvalq* target, const http_headers& headers) -> void {
+  for (const auto& [name, value] : headers.fields())
+    evhttp_add_header(target, name.c_str(), value.c_str());
+}
+
+auto method_name(evhttp_cmd_type method) -> std::string {
+  switch (method) {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_POST:
+      return "POST";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    case EVHTTP_REQ_HEAD:
+      return "HEAD";
+    case EVHTTP_REQ_PATCH:
+      return "PATCH";
+    default:
+      return "OPTIONS";
+  }
+}
+
+auto method_code(const std::string& name) -> evhttp_cmd_type {
+  for (auto code : {EVHTTP_REQ_GET, EVHTTP_REQ_POST, EVHTTP_REQ_PUT,
+                    EVHTTP_REQ_DELETE, EVHTTP_REQ_HEAD, EVHTTP_REQ_PATCH})
+    if (method_name(code) == name) return code;
+  return EVHTTP_REQ_OPTIONS;
+}
+
+}  // namespace
+
+struct timer::impl {
+  event* handle = nullptr;
+  task work;
+  bool once = false;
+
+  ~impl() { event_free(handle); }
+  static auto fire(int /*fd*/, short /*what*/, void* arg) -> void {
+    auto* self = static_cast<impl*>(arg);
+    auto work = self->work;  // the callback may destroy this timer
+    work();
+  }
+};
+
+timer::timer() = default;
+timer::timer(std::unique_ptr<impl> pending) : impl_(std::move(pending)) {}
+timer::~timer() = default;
+timer::timer(timer&&) noexcept = default;
+auto timer::operator=(timer&&) noexcept -> timer& = default;
+
+struct event_loop::impl {
+  event_base* base = nullptr;
+  event* posted = nullptr;
+  std::deque<task> work;
+
+  static auto drain(int /*fd*/, short /*what*/, void* arg) -> void {
+    auto* self = static_cast<impl*>(arg);
+    std::deque<task> batch;
+    batch.swap(self->work);
+    for (auto& item : batch) item();
+  }
+};
+
+event_loop::event_loop() : impl_(std::make_unique<impl>()) {
+  signal(SIGPIPE, SIG_IGN);
+  auto* config = event_config_new();
+  event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  impl_->base = event_base_new_with_config(config);
+  event_config_free(config);
+  impl_->posted = event_new(impl_->base, -1, 0, &impl::drain, impl_.get());
+}
+
+event_loop::~event_loop() {
+  impl_->work.clear();
+  event_free(impl_->posted);
+  event_base_free(impl_->base);
+}
+
+auto event_loop::base() -> event_base* { return impl_->base; }
+
+auto event_loop::run() -> void {
+  event_base_loop(impl_->base, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+auto event_loop::stop() -> void { event_base_loopbreak(impl_->base); }
+
+auto event_loop::post(task work) -> void {
+  if (impl_->work.empty()) event_active(impl_->posted, EV_TIMEOUT, 0);
+  impl_->work.push_back(std::move(work));
+}
+
+auto event_loop::after(duration delay, task work) -> timer {
+  auto pending = std::make_unique<timer::impl>();
+  pending->work = std::move(work);
+  pending->handle =
+      event_new(impl_->base, -1, 0, &timer::impl::fire, pending.get());
+  const auto tv = to_timeval(std::max(delay, duration::zero()));
+  event_add(pending->handle, &tv);
+  return timer(std::move(pending));
+}
+
+auto event_loop::every(duration period, task work) -> timer {
+  auto pending = std::make_unique<timer::impl>();
+  pending->work = std::move(work);
+  pending->handle =
+      event_new(impl_->base, -1, EV_PERSIST, &timer::impl::fire, pending.get());
+  const auto tv = to_timeval(period);
+  event_add(pending->handle, &tv);
+  return timer(std::move(pending));
+}
+
+auto event_loop::on_signal(int number, task work) -> timer {
+  auto pending = std::make_unique<timer::impl>();
+  pending->work = std::move(work);
+  pending->handle = event_new(impl_->base, number, EV_SIGNAL | EV_PERSIST,
+                              &timer::impl::fire, pending.get());
+  event_add(pending->handle, nullptr);
+  return timer(std::move(pending));
+}
+
+auto http_headers::add(std::string name, std::string value) -> http_headers& {
+  fields_.emplace_back(std::move(name), std::move(value));
+  return *this;
+}
+
+auto http_headers::find(std::string_view name) const
+    -> std::optional<std::string> {
+  for (const auto& [key, value] : fields_)
+    if (key.size() == name.size() &&
+        strncasecmp(key.data(), name.data(), name.size()) == 0)
+      return value;
+  return std::nullopt;
+}
+
+struct exchange::impl {
+  evhttp_request* handle = nullptr;  // null once replied or closed
+  http_request request;
+  sigc::signal<void()> closed;
+  bool started = false;
+
+  auto connection() const -> evhttp_connection* {
+    return evhttp_request_get_connection(handle);
+  }
+
+  static auto on_close(evhttp_connection* /*connection*/, void* arg) -> void {
+    auto* self = static_cast<impl*>(arg);
+    if (self->handle == nullptr) return;
+    self->handle = nullptr;
+    self->closed.emit();
+  }
+
+  auto release() -> void {
+    evhttp_connection_set_closecb(connection(), nullptr, nullptr);
+    handle = nullptr;
+  }
+};
+
+exchange::exchange(std::unique_ptr<impl> state) : impl_(std::move(state)) {}
+
+exchange::~exchange() {
+  if (impl_->handle == nullptr) return;
+  if (impl_->started) {
+    abort();
+    return;
+  }
+  reply(500, {}, "the request was dropped\n");
+}
+
+auto exchange::request() const -> const http_request& { return impl_->request; }
+auto exchange::closed() -> sigc::signal<void()>& { return impl_->closed; }
+auto exchange::started() const -> bool { return impl_->started; }
+auto exchange::open() const -> bool { return impl_->handle != nullptr; }
+
+auto exchange::reply(int status, const http_headers& headers,
+                     std::string_view body) -> void {
+  if (impl_->handle == nullptr || impl_->started) return;
+  auto* handle = impl_->handle;
+  impl_->release();
+  write_headers(evhttp_request_get_output_headers(handle), headers);
+  auto* buffer = evbuffer_new();
+  evbuffer_add(buffer, body.data(), body.size());
+  evhttp_send_reply(handle, status, nullptr, buffer);
+  evbuffer_free(buffer);
+}
+
+auto exchange::start(int status, const http_headers& headers) -> void {
+  if (impl_->handle == nullptr || impl_->started) return;
+  impl_->started = true;
+  write_headers(evhttp_request_get_output_headers(impl_->handle), headers);
+  evhttp_send_reply_start(impl_->handle, status, nullptr);
+}
+
+auto exchange::chunk(std::string_view part) -> std::size_t {
+  if (impl_->handle == nullptr || part.empty()) return 0;
+  auto* buffer = evbuffer_new();
+  evbuffer_add(buffer, part.data(), part.size());
+  evhttp_send_reply_chunk(impl_->handle, buffer);
+  evbuffer_free(buffer);
+  if (impl_->handle == nullptr) return 0;
+  auto* stream = evhttp_connection_get_bufferevent(impl_->connection());
+  return evbuffer_get_length(bufferevent_get_output(stream));
+}
+
+auto exchange::end() -> void {
+  if (impl_->handle == nullptr) return;
+  auto* handle = impl_->handle;
+  impl_->release();
+  evhttp_send_reply_end(handle);
+}
+
+auto exchange::abort() -> void {
+  if (impl_->handle == nullptr) return;
+  auto* connection = impl_->connection();
+  impl_->release();
+  evhttp_connection_free(connection);
+}
+
+struct http_server::impl {
+  event_loop& loop;
+  http_limits limits;
+  handler on_request;
+  evhttp* http = nullptr;
+  evhttp_bound_socket* socket = nullptr;
+  std::shared_ptr<std::size_t> open = std::make_shared<std::size_t>(0);
+
+  impl(event_loop& loop, http_limits limits, handler on_request)
+      : loop(loop), limits(limits), on_request(std::move(on_request)) {}
+
+  static auto refuse(evhttp_request* handle, int status, const char* why)
+      -> void {
+    auto* buffer = evbuffer_new();
+    evbuffer_add_printf(buffer, "%s\n", why);
+    evhttp_add_header(evhttp_request_get_output_headers(handle),
+                      "Pollenloft-Outcome", "not-run");
+    evhttp_send_reply(handle, status, nullptr, buffer);
+    evbuffer_free(buffer);
+  }
+
+  static auto on_handle(evhttp_request* handle, void* arg) -> void {
+    static_cast<impl*>(arg)->accept(handle);
+  }
+
+  auto accept(evhttp_request* handle) -> void {
+    auto state = std::make_unique<exchange::impl>();
+    auto& request = state->request;
+    request.headers = read_headers(evhttp_request_get_input_headers(handle));
+    if (request.headers.fields().size() > limits.header_count)
+      return refuse(handle, 431, "Too many header fields.");
+    request.method = method_name(evhttp_request_get_command(handle));
+    request.target = evhttp_request_get_uri(handle);
+    const auto* path =
+        evhttp_uri_get_path(evhttp_request_get_evhttp_uri(handle));
+    request.path = path != nullptr && *path != '\0' ? path : "/";
+    request.body = buffer_text(evhttp_request_get_input_buffer(handle));
+    auto* connection = evhttp_request_get_connection(handle);
+    char* host = nullptr;
+    ev_uint16_t port = 0;
+    evhttp_connection_get_peer(connection, &host, &port);
+    request.peer = std::string(host != nullptr ? host : "") + ":" +
+                   std::to_string(port);
+    state->handle = handle;
+    evhttp_connection_set_closecb(connection, &exchange::impl::on_close,
+                                  state.get());
+    on_request(std::make_shared<exchange>(std::move(state)));
+  }
+
+};
+
+http_server::http_server(event_loop& loop, http_limits limits,
+                         handler on_request)
+    : impl_(std::make_unique<impl>(loop, limits, std::move(on_request))) {
+  impl_->http = evhttp_new(loop.base());
+  evhttp_set_gencb(impl_->http, &impl::on_handle, impl_.get());
+  evhttp_set_max_headers_size(impl_->http,
+                              static_cast<ev_ssize_t>(limits.header_bytes));
+  evhttp_set_max_body_size(impl_->http,
+                           static_cast<ev_ssize_t>(limits.body_bytes));
+  evhttp_set_timeout(impl_->http, static_cast<int>(limits.idle.count()));
+  evhttp_set_allowed_methods(
+      impl_->http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
+                       EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH);
+}
+
+http_server::~http_server() { evhttp_free(impl_->http); }
+
+auto http_server::listen(const socket_address& address)
+    -> std::optional<bool> {
+  impl_->socket = evhttp_bind_socket_with_handle(
+      impl_->http, address.host.c_str(), address.port);
+  if (impl_->socket == nullptr)
+    return fail("http.listen", address.text(), strerror(errno));
+  return true;
+}
+
+auto http_server::close_listener() -> void {
+  if (impl_->socket == nullptr) return;
+  evhttp_del_accept_socket(impl_->http, impl_->socket);
+  impl_->socket = nullptr;
+}
+
+struct conversation::impl {
+  event_loop& loop;
+  evhttp_connection* connection = nullptr;
+  call_handlers handlers;
+  std::string peer;
+  std::string step;
+  timer deadline;
+  evhttp_request_error failure = EVREQ_HTTP_TIMEOUT;
+  bool done = false;
+  bool reusable = false;
+  int status = 0;
+  std::shared_ptr<impl> self;  // keeps the state alive until released
+  sigc::slot<void(evhttp_connection*)> give_back;
+
+  explicit impl(event_loop& loop) : loop(loop) {}
+
+  auto release(bool keep) -> void {
+    if (!self) return;
+    done = true;
+    deadline = timer();
+    // evhttp still uses the connection while its callback runs.
+    loop.post([held = std::move(self), keep] {
+      if (keep)
+        held->give_back(held->connection);
+      else
+        evhttp_connection_free(held->connection);
+      held->handlers = {};
+    });
+  }
+
+  auto finish(const call_result& result, std::string_view body, bool keep)
+      -> void {
+    if (done) return;
+    auto on_done = handlers.on_done;
+    auto held = self;
+    release(keep);
+    if (on_done) on_done(result, body);
+  }
+
+  auto expire() -> void {
+    finish(call_broken{{step, peer, "timed out"}}, {}, false);
+  }
+
+  static auto on_error(evhttp_request_error what, void* arg) -> void {
+    static_cast<impl*>(arg)->failure = what;
+  }
+
+  static auto on_header(evhttp_request* handle, void* arg) -> int {
+    auto* self = static_cast<impl*>(arg);
+    if (self->done) return 0;
+    self->status = evhttp_request_get_response_code(handle);
+    if (self->handlers.on_head)
+      self->handlers.on_head(
+          self->status, read_headers(evhttp_request_get_input_headers(handle)));
+    return 0;
+  }
+
+  static auto on_chunk(evhttp_request* handle, void* arg) -> void {
+    auto* self = static_cast<impl*>(arg);
+    const auto part = buffer_text(evhttp_request_get_input_buffer(handle));
+    if (self->done) return;
+    auto held = self->self;
+    self->handlers.on_data(part);
+  }
+
+  static auto on_complete(evhttp_request* handle, void* arg) -> void {
+    auto* self = static_cast<impl*>(arg);
+    if (self->done) return;
+    if (handle == nullptr)
+      return self->finish(
+          call_broken{{self->step, self->peer, self->failure_text()}}, {},
+          false);
+    if (evhttp_request_get_response_code(handle) == 0)
+      return self->finish(
+          call_unsent{{self->step, self->peer, "connection not made"}}, {},
+          false);
+    const auto rest = buffer_text(evhttp_request_get_input_buffer(handle));
+    self->status = evhttp_request_get_response_code(handle);
+    self->finish(call_answered{self->status}, rest, self->reusable);
+  }
+
+  auto failure_text() const -> std::string {
+    switch (failure) {
+      case EVREQ_HTTP_TIMEOUT:
+        return "timed out";
+      case EVREQ_HTTP_EOF:
+        return "connection closed";
+      case EVREQ_HTTP_INVALID_HEADER:
+        return "invalid header";
+      case EVREQ_HTTP_DATA_TOO_LONG:
+        return "answer too long";
+      default:
+        return "connection failed";
+    }
+  }
+};
+
+conversation::conversation(std::shared_ptr<impl> state)
+    : impl_(std::move(state)) {}
+conversation::~conversation() = default;
+auto conversation::cancel() -> void { impl_->release(false); }
+
+struct http_client::impl {
+  explicit impl(event_loop& loop) : loop(loop) {}
+
+  event_loop& loop;
+  std::map<std::string, std::vector<evhttp_connection*>> idle;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+  ~impl() {
+    *alive = false;
+    for (auto& [peer, connections] : idle)
+      for (auto* connection : connections) evhttp_connection_free(connection);
+  }
+
+  /// An idle connection that the peer has closed drops out by itself.
+  static auto on_idle_close(evhttp_connection* connection, void* arg) -> void {
+    auto* self = static_cast<impl*>(arg);
+    for (auto& [peer, list] : self->idle) {
+      const auto found = std::find(list.begin(), list.end(), connection);
+      if (found == list.end()) continue;
+      list.erase(found);
+      self->loop.post([connection] { evhttp_connection_free(connection); });
+      return;
+    }
+  }
+
+  auto acquire(const http_call& call) -> evhttp_connection* {
+    auto& list = idle[call.peer.text()];
+    if (call.keep_alive && !list.empty()) {
+      auto* connection = list.back();
+      list.pop_back();
+      evhttp_connection_set_closecb(connection, nullptr, nullptr);
+      return connection;
+    }
+    return evhttp_connection_base_new(loop.base(), nullptr,
+                                      call.peer.host.c_str(), call.peer.port);
+  }
+};
+
+http_client::http_client(event_loop& loop)
+    : impl_(std::make_unique<impl>(loop)) {}
+http_client::~http_client() = default;
+
+auto http_client::send(const http_call& call, call_handlers handlers)
+    -> conversation_ptr {
+  auto state = std::make_shared<conversation::impl>(impl_->loop);
+  state->self = state;
+  state->handlers = std::move(handlers);
+  state->peer = call.peer.text();
+  state->step = "http.call " + call.target;
+  state->reusable = call.keep_alive;
+  state->connection = impl_->acquire(call);
+  state->give_back = [this, alive = impl_->alive,
+                      peer = state->peer](evhttp_connection* connection) {
+    if (!*alive) return evhttp_connection_free(connection);
+    impl_->idle[peer].push_back(connection);
+    evhttp_connection_set_closecb(connection, &impl::on_idle_close,
+                                  impl_.get());
+  };
+  evhttp_connection_set_retries(state->connection, 0);
+
+  auto* raw = state.get();
+  auto* handle = evhttp_request_new(&conversation::impl::on_complete, raw);
+  evhttp_request_set_error_cb(handle, &conversation::impl::on_error);
+  evhttp_request_set_header_cb(handle, &conversation::impl::on_header);
+  if (state->handlers.on_data)
+    evhttp_request_set_chunked_cb(handle, &conversation::impl::on_chunk);
+  auto* output = evhttp_request_get_output_headers(handle);
+  evhttp_add_header(output, "Host", call.peer.host.c_str());
+  if (!call.keep_alive) evhttp_add_header(output, "Connection", "close");
+  write_headers(output, call.headers);
+  evbuffer_add(evhttp_request_get_output_buffer(handle), call.body.data(),
+               call.body.size());
+  state->deadline =
+      impl_->loop.after(call.timeout, [raw] { raw->expire(); });
+  evhttp_make_request(state->connection, handle, method_code(call.method),
+                      call.target.c_str());
+  return std::make_shared<conversation>(state);
+}
+
+}  // namespace pollenloft
--- /dev/null
+++ b/src/replica.cpp
@@ -0,0 +1,497 @@
+#include "pollenloft/replica.hpp"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace pollenloft {
+
+namespace {
+
+auto encode_members(const std::vector<replica_id>& members) -> std::string {
+  std::string text;
+  for (auto id : members)
+    text += (text.empty() ? "" : ",") + std::to_string(id);
+  return text;
+}
+
+auto decode_members(const std::string& text) -> std::vector<replica_id> {
+  std::vector<replica_id> members;
+  std::istringstream in(text);
+  for (std::string part; std::getline(in, part, ',');)
+    members.push_back(
+        static_cast<replica_id>(parse_number(part).value_or(0)));
+  return members;
+}
+
+auto differ_by_one(std::vector<replica_id> a, std::vector<replica_id> b)
+    -> bool {
+  std::sort(a.begin(), a.end());
+  std::sort(b.begin(), b.end());
+  std::vector<replica_id> difference;
+  std::set_symmetric_difference(a.begin(), a.end(), b.begin(), b.end(),
+                                std::back_inserter(difference));
+  return difference.size() == 1;
+}
+
+}  // namespace
+
+auto replica_effects::empty() const -> bool {
+  return !hard && !install && append.empty() && messages.empty() && !restore &&
+         committed.empty();
+}
+
+replica::replica(replica_options options, persisted_state found, instant now)
+    : options_(std::move(options)),
+      random_(hash64(std::to_string(options_.id), options_.seed)) {
+  members_ = options_.members;
+  // A restarted replica has forgotten when it last heard a leader, so it
+  // behaves as if that were now and keeps its promise not to vote.
+  heard_ = now;
+  reset_election(now);
+  if (!found.hard || !found.hard->voting) {
+    role_ = replica_role::recovering;
+    nonce_ = random_.next();
+    return;
+  }
+  hard_ = *found.hard;
+  snapshot_ = std::move(found.snapshot);
+  log_.assign(found.entries.begin(), found.entries.end());
+  commit_ = snapshot_.index;
+  if (snapshot_.index != 0) effects_.restore = snapshot_;
+  refresh_members();
+}
+
+auto replica::last_index() const -> log_index {
+  return snapshot_.index + log_.size();
+}
+
+auto replica::entry_at(log_index index) const -> const log_entry* {
+  if (index <= snapshot_.index || index > last_index()) return nullptr;
+  return &log_[index - snapshot_.index - 1];
+}
+
+auto replica::term_at(log_index index) const -> log_term {
+  if (index == snapshot_.index) return snapshot_.term;
+  const auto* entry = entry_at(index);
+  return entry != nullptr ? entry->term : 0;
+}
+
+auto replica::is_member(replica_id id) const -> bool {
+  return std::find(members_.begin(), members_.end(), id) != members_.end();
+}
+
+auto replica::established() const -> bool {
+  return role_ == replica_role::leader && term_at(commit_) == hard_.term;
+}
+
+auto replica::leads_until() const -> instant {
+  if (role_ != replica_role::leader) return instant{};
+  return confirmed_ + options_.election_min;
+}
+
+auto replica::send(replica_id to, decltype(replica_message::body) body)
+    -> void {
+  effects_.messages.push_back({options_.id, to, hard_.term, std::move(body)});
+}
+
+auto replica::mark_hard() -> void { effects_.hard = hard_; }
+
+auto replica::take_effects() -> replica_effects {
+  return std::exchange(effects_, {});
+}
+
+auto replica::append_entry(log_entry entry) -> void {
+  const auto is_members = entry.kind == entry_kind::members;
+  log_.push_back(entry);
+  effects_.append.push_back(std::move(entry));
+  if (is_members) refresh_members();
+}
+
+auto replica::truncate_from(log_index index) -> void {
+  while (last_index() >= index) log_.pop_back();
+  auto& pending = effects_.append;
+  while (!pending.empty() && pending.back().index >= index) pending.pop_back();
+  refresh_members();
+}
+
+auto replica::refresh_members() -> void {
+  members_ = snapshot_.members.empty() ? options_.members : snapshot_.members;
+  for (const auto& entry : log_)
+    if (entry.kind == entry_kind::members)
+      members_ = decode_members(entry.data);
+  if (role_ != replica_role::leader) return;
+  for (auto id : members_)
+    if (id != options_.id && progress_.count(id) == 0)
+      progress_[id].next = last_index();
+}
+
+auto replica::reset_election(instant now) -> void {
+  const auto spread = options_.election_max - options_.election_min;
+  const auto extra = duration(
+      random_.below(static_cast<std::uint64_t>(spread.count()) + 1));
+  election_due_ = now + options_.election_min + extra;
+}
+
+auto replica::become_follower(log_term term, replica_id leader, instant now)
+    -> void {
+  if (term > hard_.term) {
+    hard_.term = term;
+    hard_.vote = 0;
+    mark_hard();
+  }
+  role_ = replica_role::follower;
+  leader_ = leader;
+  votes_.clear();
+  progress_.clear();
+  reset_election(now);
+}
+
+auto replica::become_leader(instant now) -> void {
+  role_ = replica_role::leader;
+  leader_ = options_.id;
+  progress_.clear();
+  round_sent_.clear();
+  confirmed_ = now - options_.election_min;  // nothing confirmed yet
+  for (auto id : members_)
+    if (id != options_.id) progress_[id].next = last_index() + 1;
+  append_entry({hard_.term, last_index() + 1, entry_kind::noop, {}});
+  broadcast(now);
+  advance_commit();
+}
+
+auto replica::campaign(bool pre, instant now) -> void {
+  role_ = replica_role::candidate;
+  leader_ = 0;
+  pre_vote_ = pre;
+  votes_ = {options_.id};
+  reset_election(now);
+  if (!pre) {
+    ++hard_.term;
+    hard_.vote = options_.id;
+    mark_hard();
+  }
+  if (votes_.size() >= majority())
+    return pre ? campaign(false, now) : become_leader(now);
+  for (auto id : members_)
+    if (id != options_.id)
+      send(id, vote_request{pre, last_index(), term_at(last_index())});
+}
+
+auto replica::ask_recovery(instant now) -> void {
+  if (now < heartbeat_due_) return;
+  heartbeat_due_ = now + options_.heartbeat;
+  for (auto id : members_)
+    if (id != options_.id) send(id, recover_request{nonce_});
+  if (members_.size() > 1) return;
+  hard_.voting = true;
+  mark_hard();
+  role_ = replica_role::follower;
+}
+
+auto replica::tick(instant now) -> void {
+  if (role_ == replica_role::recovering) return ask_recovery(now);
+  if (role_ != replica_role::leader) {
+    if (now >= election_due_ && hard_.voting && is_member(options_.id))
+      campaign(true, now);
+    return;
+  }
+  confirmed_ = quorum_heard_at(now);
+  if (now - confirmed_ > options_.election_max + options_.election_min)
+    return become_follower(hard_.term, 0, now);
+  if (now >= heartbeat_due_) broadcast(now);
+}
+
+auto replica::propose(std::vector<std::string> commands, instant now)
+    -> std::optional<log_index> {
+  if (role_ != replica_role::leader)
+    return fail("replica.propose", std::to_string(leader_), "not the leader");
+  const auto first = last_index() + 1;
+  for (auto& command : commands)
+    append_entry({hard_.term, last_index() + 1, entry_kind::command,
+                  std::move(command)});
+  for (auto& [id, peer] : progress_)
+    if (!peer.in_flight) send_append(id, now);
+  advance_commit();
+  return first;
+}
+
+auto replica::propose_members(const std::vector<replica_id>& members,
+                              instant now) -> std::optional<log_index> {
+  const auto peer = std::to_string(options_.id);
+  if (!established()) return fail("replica.members", peer, "not the leader");
+  if (!differ_by_one(members, members_))
+    return fail("replica.members", peer,
+                "the list must differ from the current one by one replica");
+  for (auto index = commit_ + 1; index <= last_index(); ++index)
+    if (entry_at(index)->kind == entry_kind::members)
+      return fail("replica.members", peer, "an earlier change is under way");
+  append_entry({hard_.term, last_index() + 1, entry_kind::members,
+                encode_members(members)});
+  broadcast(now);
+  advance_commit();
+  return last_index();
+}
+
+auto replica::compact(log_index index, std::string data)
+    -> const log_snapshot& {
+  if (index <= snapshot_.index || index > commit_) return snapshot_;
+  auto members =
+      snapshot_.members.empty() ? options_.members : snapshot_.members;
+  const auto term = term_at(index);
+  while (!log_.empty() && log_.front().index <= index) {
+    if (log_.front().kind == entry_kind::members)
+      members = decode_members(log_.front().data);
+    log_.pop_front();
+  }
+  snapshot_ = {index, term, std::move(members), std::move(data)};
+  return snapshot_;
+}
+
+auto replica::transfer_leadership() -> void {
+  if (role_ != replica_role::leader || progress_.empty()) return;
+  const auto best = std::max_element(
+      progress_.begin(), progress_.end(), [](const auto& a, const auto& b) {
+        return a.second.match < b.second.match;
+      });
+  send(best->first, campaign_request{});
+}
+
+auto replica::broadcast(instant now) -> void {
+  heartbeat_due_ = now + options_.heartbeat;
+  ++round_;
+  round_sent_[round_] = now;
+  while (round_sent_.size() > 64) round_sent_.erase(round_sent_.begin());
+  for (auto& [id, peer] : progress_) send_append(id, now);
+}
+
+auto replica::send_append(replica_id to, instant now) -> void {
+  auto& peer = progress_[to];
+  if (peer.next <= snapshot_.index) {
+    // A snapshot is large: it is sent again only after a whole election time.
+    if (peer.in_flight && now - peer.sent_at < options_.election_max) return;
+    peer.in_flight = true;
+    peer.sent_at = now;
+    return send(to, install_request{snapshot_, round_});
+  }
+  append_request request;
+  request.prev_index = peer.next - 1;
+  request.prev_term = term_at(peer.next - 1);
+  request.commit = commit_;
+  request.leader_last = last_index();
+  request.round = round_;
+  std::size_t bytes = 0;
+  for (auto i = peer.next; i <= last_index(); ++i) {
+    const auto* entry = entry_at(i);
+    bytes += entry->data.size() + 32;
+    if (!request.entries.empty() && bytes > options_.append_bytes) break;
+    request.entries.push_back(*entry);
+  }
+  peer.in_flight = !request.entries.empty();
+  peer.sent_at = now;
+  send(to, std::move(request));
+}
+
+auto replica::advance_commit() -> void {
+  if (role_ != replica_role::leader) return;
+  std::vector<log_index> matches;
+  for (auto id : members_)
+    matches.push_back(id == options_.id ? last_index() : progress_[id].match);
+  std::sort(matches.rbegin(), matches.rend());
+  const auto index = matches[majority() - 1];
+  if (index > commit_ && term_at(index) == hard_.term) commit_to(index);
+}
+
+auto replica::commit_to(log_index index) -> void {
+  index = std::min(index, last_index());
+  while (commit_ < index) effects_.committed.push_back(*entry_at(++commit_));
+}
+
+auto replica::quorum_heard_at(instant now) const -> instant {
+  std::vector<instant> heard;
+  for (auto id : members_) {
+    if (id == options_.id) {
+      heard.push_back(now);
+      continue;
+    }
+    const auto peer = progress_.find(id);
+    const auto sent = peer == progress_.end()
+                          ? round_sent_.end()
+                          : round_sent_.find(peer->second.acked_round);
+    heard.push_back(sent == round_sent_.end() ? instant{} : sent->second);
+  }
+  std::sort(heard.rbegin(), heard.rend());
+  return std::max(confirmed_, heard[majority() - 1]);
+}
+
+auto replica::receive(const replica_message& message, instant now) -> void {
+  std::visit([&](const auto& body) { on(body, message, now); }, message.body);
+}
+
+auto replica::candidate_up_to_date(const vote_request& request) const -> bool {
+  const auto own_term = term_at(last_index());
+  if (request.last_term != own_term) return request.last_term > own_term;
+  return request.last_index >= last_index();
+}
+
+auto replica::on(const vote_request& request, const replica_message& message,
+                 instant now) -> void {
+  if (!hard_.voting) return;
+  // While a leader is known to be alive nobody else is elected: leases that
+  // the leader granted rely on it.
+  const auto leader_alive = role_ == replica_role::leader
+                                ? now < leads_until()
+                                : now - heard_ < options_.election_min;
+  if (leader_alive && leader_ != message.from && leader_ != 0) return;
+  if (now - heard_ < options_.election_min && leader_ != 0) return;
+  if (request.pre) {
+    if (message.term >= hard_.term && candidate_up_to_date(request))
+      send(message.from, vote_reply{true, true});
+    return;
+  }
+  if (message.term > hard_.term) become_follower(message.term, 0, now);
+  const auto free = hard_.vote == 0 || hard_.vote == message.from;
+  const auto granted = message.term == hard_.term && free &&
+                       role_ == replica_role::follower &&
+                       candidate_up_to_date(request);
+  if (granted) {
+    hard_.vote = message.from;
+    mark_hard();
+    reset_election(now);
+  }
+  send(message.from, vote_reply{false, granted});
+}
+
+auto replica::on(const vote_reply& reply, const replica_message& message,
+                 instant now) -> void {
+  if (message.term > hard_.term && !reply.granted)
+    return become_follower(message.term, 0, now);
+  if (role_ != replica_role::candidate || reply.pre != pre_vote_) return;
+  if (!reply.granted || !is_member(message.from)) return;
+  if (!reply.pre && message.term != hard_.term) return;
+  votes_.insert(message.from);
+  if (votes_.size() < majority()) return;
+  if (reply.pre) return campaign(false, now);
+  become_leader(now);
+}
+
+auto replica::on(const append_request& request, const replica_message& message,
+                 instant now) -> void {
+  if (role_ == replica_role::recovering) return;
+  if (message.term < hard_.term)
+    return send(message.from, append_reply{false, last_index(), 0});
+  if (role_ != replica_role::follower || message.term > hard_.term)
+    become_follower(message.term, message.from, now);
+  leader_ = message.from;
+  heard_ = now;
+  reset_election(now);
+  const auto known = request.prev_index <= last_index();
+  if (request.prev_index > commit_ &&
+      (!known || term_at(request.prev_index) != request.prev_term)) {
+    const auto hint = std::min(last_index(), request.prev_index - 1);
+    return send(message.from, append_reply{false, hint, request.round});
+  }
+  for (const auto& entry : request.entries) {
+    if (entry.index <= commit_) continue;
+    if (term_at(entry.index) == entry.term) continue;
+    truncate_from(entry.index);
+    append_entry(entry);
+  }
+  const auto match = request.prev_index + request.entries.size();
+  commit_to(std::min(request.commit, match));
+  finish_recovery(request.leader_last);
+  send(message.from, append_reply{true, match, request.round});
+}
+
+auto replica::on(const append_reply& reply, const replica_message& message,
+                 instant now) -> void {
+  if (message.term > hard_.term) return become_follower(message.term, 0, now);
+  if (role_ != replica_role::leader || message.term != hard_.term) return;
+  const auto found = progress_.find(message.from);
+  if (found == progress_.end()) return;
+  auto& peer = found->second;
+  peer.acked_round = std::max(peer.acked_round, reply.round);
+  confirmed_ = quorum_heard_at(now);
+  peer.in_flight = false;
+  if (!reply.matched) {
+    // A hint below the match tells of a disk that was lost.
+    peer.match = std::min(peer.match, reply.index);
+    peer.next = std::min(reply.index, last_index()) + 1;
+    return send_append(message.from, now);
+  }
+  peer.match = std::max(peer.match, reply.index);
+  peer.next = std::max(peer.next, peer.match + 1);
+  advance_commit();
+  if (peer.next <= last_index()) send_append(message.from, now);
+}
+
+auto replica::on(const install_request& request,
+                 const replica_message& message, instant now) -> void {
+  if (role_ == replica_role::recovering || message.term < hard_.term) return;
+  if (role_ != replica_role::follower || message.term > hard_.term)
+    become_follower(message.term, message.from, now);
+  leader_ = message.from;
+  heard_ = now;
+  reset_election(now);
+  const auto& snapshot = request.snapshot;
+  if (snapshot.index > commit_) {
+    log_.clear();
+    effects_.append.clear();
+    effects_.committed.clear();
+    snapshot_ = snapshot;
+    commit_ = snapshot.index;
+    effects_.install = snapshot_;
+    effects_.restore = snapshot_;
+    refresh_members();
+  }
+  send(message.from, append_reply{true, snapshot.index, request.round});
+}
+
+auto replica::on(const recover_request& request,
+                 const replica_message& message, instant /*now*/) -> void {
+  const auto fresh = hard_.term == 0 && last_index() == 0;
+  // A replica that is itself recovering can vouch for nothing but emptiness.
+  if (!hard_.voting && !fresh) return;
+  send(message.from, recover_reply{request.nonce, fresh});
+}
+
+auto replica::on(const recover_reply& reply, const replica_message& message,
+                 instant now) -> void {
+  if (role_ != replica_role::recovering || reply.nonce != nonce_) return;
+  recovery_replies_[message.from] = reply;
+  recovery_terms_[message.from] = message.term;
+  std::size_t known = 0;
+  std::size_t fresh = 0;
+  log_term highest = 0;
+  for (const auto& [id, answer] : recovery_replies_) {
+    fresh += answer.fresh ? 1 : 0;
+    known += answer.fresh ? 0 : 1;
+    highest = std::max(highest, recovery_terms_[id]);
+  }
+  if (fresh + 1 == members_.size()) {
+    hard_.voting = true;  // every disk is empty: a new system
+    mark_hard();
+    role_ = replica_role::follower;
+    return reset_election(now);
+  }
+  if (known < majority()) return;
+  hard_.term = highest;
+  mark_hard();
+  role_ = replica_role::follower;
+  reset_election(now);
+}
+
+auto replica::finish_recovery(log_index leader_last) -> void {
+  if (hard_.voting || last_index() < leader_last) return;
+  hard_.voting = true;
+  mark_hard();
+}
+
+auto replica::on(const campaign_request& /*request*/,
+                 const replica_message& message, instant now) -> void {
+  if (message.term != hard_.term || !hard_.voting) return;
+  if (role_ != replica_role::follower || leader_ != message.from) return;
+  campaign(false, now);
+}
+
+}  // namespace pollenloft
--- /dev/null
+++ b/src/route.cpp
@@ -0,0 +1,367 @@
+#include "pollenloft/route.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace pollenloft {
+
+namespace {
+
+constexpr double learn_gain = 0.2;
+constexpr auto default_layer_time = std::chrono::microseconds(100);
+constexpr std::size_t partial_chains = 4;  // kept for each layer boundary
+constexpr int failures_to_eject = 3;
+constexpr auto most_eject_time = std::chrono::seconds(30);
+constexpr double window_cut = 0.7;
+constexpr std::size_t most_links = 20000;
+
+auto seconds(duration d) -> double {
+  return std::chrono::duration<double>(d).count();
+}
+
+auto blend(duration old, duration sample) -> duration {
+  if (old == duration::zero()) return sample;
+  return old + std::chrono::duration_cast<duration>((sample - old) *
+                                                    learn_gain);
+}
+
+struct endpoint_entry {
+  std::shared_ptr<const endpoint_view> view;
+  double outstanding = 0;
+  double window = 1;
+  double reported = 0;      // others' requests, when the report came
+  instant reported_at{};
+  duration layer_time{};    // learned; 0 falls back on the kind's
+  int suspects = 0;
+  int failures = 0;         // in a row
+  duration eject_for{};
+  instant ejected_until{};
+  bool removed = false;
+};
+
+using range = std::pair<std::int32_t, std::int32_t>;
+using entry_ptr = std::shared_ptr<endpoint_entry>;
+
+/// The endpoints of one pipeline by the layers they hold.
+using range_groups = std::map<range, std::vector<entry_ptr>>;
+
+struct partial_chain {
+  double cost = 0;
+  std::vector<std::pair<endpoint_entry*, range>> stages;
+};
+
+}  // namespace
+
+struct router::impl {
+  impl(route_options options, std::uint64_t seed)
+      : options(std::move(options)), random(seed) {}
+
+  route_options options;
+  random_source random;
+  std::size_t vms = 1;
+  std::unordered_map<std::string, entry_ptr> by_id;
+  std::map<std::string, range_groups> pipelines;
+  std::map<std::string, duration> kind_time;
+  std::map<std::pair<std::string, std::string>, duration> zone_links;
+  std::map<std::pair<std::string, std::string>, duration> slow_links;
+  std::uint64_t turn = 0;
+
+  auto first_window(const endpoint_view& view) const -> double {
+    return std::max(1.0, std::ceil(static_cast<double>(view.slots) /
+                                   static_cast<double>(vms)));
+  }
+
+  auto layer_time(const endpoint_entry& entry) const -> duration {
+    if (entry.layer_time != duration::zero()) return entry.layer_time;
+    const auto found = kind_time.find(entry.view->kind);
+    return found == kind_time.end() ? duration(default_layer_time)
+                                    : found->second;
+  }
+
+  auto link_time(const endpoint_view& from, const endpoint_view& to) const
+      -> duration {
+    const auto slow = slow_links.find({from.id, to.id});
+    if (slow != slow_links.end()) return slow->second;
+    const auto zone = zone_links.find({from.zone, to.zone});
+    if (zone != zone_links.end()) return zone->second;
+    return from.zone == to.zone ? duration::zero() : duration(milliseconds(1));
+  }
+
+  auto others(const endpoint_entry& entry, instant now) const -> double {
+    if (entry.reported == 0) return 0;
+    const auto age = seconds(now - entry.reported_at);
+    return entry.reported *
+           std::exp2(-age / seconds(options.report_half_life));
+  }
+
+  auto usable(const endpoint_entry& entry, const chain_request& request,
+              instant now) const -> bool {
+    if (entry.outstanding >= std::floor(entry.window)) return false;
+    if (now < entry.ejected_until) return false;
+    // Suspects do not share an endpoint: a crash then tells which is at fault.
+    if (request.suspect && entry.suspects > 0) return false;
+    return request.avoid == nullptr ||
+           request.avoid->count(entry.view->id) == 0;
+  }
+
+  auto cost(const endpoint_entry& entry, std::int32_t layers,
+            instant now) const -> double {
+    return std::visit(
+        overloaded{[&](const policy_predicted&) {
+                     const auto load =
+                         entry.outstanding + others(entry, now) + 1;
+                     return load * seconds(layer_time(entry)) * layers;
+                   },
+                   [&](const policy_least_outstanding&) {
+                     return entry.outstanding + 1;
+                   },
+                   [](const policy_round_robin&) { return 0.0; }},
+        options.policy);
+  }
+
+  auto link_cost(const endpoint_view& from, const endpoint_view& to) const
+      -> double {
+    if (!std::holds_alternative<policy_predicted>(options.policy)) return 0;
+    return seconds(link_time(from, to));
+  }
+
+  /// A few usable endpoints of a range, drawn so that VMs which see the same
+  /// loads do not all choose the same one.
+  auto sample(const std::vector<entry_ptr>& group,
+              const chain_request& request, instant now)
+      -> std::vector<endpoint_entry*> {
+    std::vector<endpoint_entry*> drawn;
+    if (group.empty()) return drawn;
+    const auto round_robin =
+        std::holds_alternative<policy_round_robin>(options.policy);
+    const auto start = round_robin ? turn : random.next();
+    const auto most = round_robin ? 1 : options.samples;
+    for (std::size_t i = 0; i < group.size() && drawn.size() < most; ++i) {
+      auto* entry = group[(start + i) % group.size()].get();
+      if (usable(*entry, request, now)) drawn.push_back(entry);
+    }
+    return drawn;
+  }
+
+  auto extend(const partial_chain& head, endpoint_entry* entry,
+              range layers, instant now) const -> partial_chain {
+    auto longer = head;
+    longer.cost += cost(*entry, layers.second - layers.first, now);
+    if (!head.stages.empty())
+      longer.cost += link_cost(*head.stages.back().first->view, *entry->view);
+    longer.stages.emplace_back(entry, layers);
+    return longer;
+  }
+
+  static auto keep_best(std::vector<partial_chain>& chains,
+                        partial_chain added) -> void {
+    const auto at = std::upper_bound(
+        chains.begin(), chains.end(), added,
+        [](const auto& a, const auto& b) { return a.cost < b.cost; });
+    chains.insert(at, std::move(added));
+    if (chains.size() > partial_chains) chains.pop_back();
+  }
+
+  /// Dynamic programming over layer boundaries, a few best chains at each.
+  auto best_chain(const range_groups& groups, const chain_request& request,
+                  instant now) -> std::optional<partial_chain> {
+    std::map<std::int32_t, std::vector<partial_chain>> reached;
+    reached[0].push_back({});
+    for (auto it = reached.begin(); it != reached.end(); ++it) {
+      const auto boundary = it->first;
+      if (boundary >= request.layers) break;
+      for (const auto& [held, group] : groups) {
+        if (held.first > boundary || held.second <= boundary) continue;
+        const range layers{boundary, std::min(held.second, request.layers)};
+        for (auto* entry : sample(group, request, now))
+          for (const auto& head : it->second)
+            keep_best(reached[layers.second], extend(head, entry, layers, now));
+      }
+    }
+    const auto whole = reached.find(request.layers);
+    if (whole == reached.end() || whole->second.empty()) return std::nullopt;
+    return whole->second.front();
+  }
+
+  auto may_eject(const endpoint_entry& entry, instant now) const -> bool {
+    const auto& group = pipelines.at(entry.view->pipeline)
+                            .at({entry.view->first_layer,
+                                 entry.view->last_layer});
+    const auto ejected = std::count_if(
+        group.begin(), group.end(),
+        [&](const auto& other) { return now < other->ejected_until; });
+    return static_cast<double>(ejected + 1) <=
+           std::max(1.0, options.eject_fraction *
+                             static_cast<double>(group.size()));
+  }
+
+  auto eject(endpoint_entry& entry, instant now) -> void {
+    if (entry.removed || !may_eject(entry, now)) return;
+    entry.eject_for = std::clamp<duration>(
+        2 * entry.eject_for, options.eject_time, most_eject_time);
+    entry.ejected_until = now + entry.eject_for;
+    entry.failures = 0;
+  }
+
+  auto settle(endpoint_entry& entry, dispatch_result result, bool at_fault,
+              instant now) -> void {
+    switch (result) {
+      case dispatch_result::served:
+        entry.failures = 0;
+        entry.eject_for = {};
+        // The window grows only while it is what limits this VM.
+        if (entry.outstanding + 1 >= std::floor(entry.window))
+          entry.window =
+              std::min(static_cast<double>(entry.view->slots),
+                       entry.window + 1 / entry.window);
+        break;
+      case dispatch_result::refused:
+        if (at_fault) entry.window = std::max(1.0, entry.window * window_cut);
+        break;
+      case dispatch_result::failed:
+        if (at_fault && ++entry.failures >= failures_to_eject)
+          eject(entry, now);
+        break;
+      case dispatch_result::abandoned:
+        break;
+    }
+  }
+};
+
+auto parse_policy(const std::string& name) -> std::optional<route_policy> {
+  if (name == "predicted") return policy_predicted{};
+  if (name == "least-outstanding") return policy_least_outstanding{};
+  if (name == "round-robin") return policy_round_robin{};
+  return fail("route.policy", name, "unknown policy");
+}
+
+router::router(route_options options, std::uint64_t seed)
+    : impl_(std::make_unique<impl>(std::move(options), seed)) {}
+router::~router() = default;
+
+auto router::upsert(const endpoint_view& endpoint) -> void {
+  const auto found = impl_->by_id.find(endpoint.id);
+  if (found != impl_->by_id.end()) {
+    const auto& known = *found->second->view;
+    const auto same = known.incarnation == endpoint.incarnation &&
+                      known.first_layer == endpoint.first_layer &&
+                      known.last_layer == endpoint.last_layer &&
+                      known.pipeline == endpoint.pipeline;
+    if (same) return;
+    remove(endpoint.id);
+  }
+  auto entry = std::make_shared<endpoint_entry>();
+  entry->view = std::make_shared<const endpoint_view>(endpoint);
+  entry->window = impl_->first_window(endpoint);
+  impl_->pipelines[endpoint.pipeline]
+                  [{endpoint.first_layer, endpoint.last_layer}]
+                      .push_back(entry);
+  impl_->by_id[endpoint.id] = std::move(entry);
+}
+
+auto router::remove(const std::string& id) -> void {
+  const auto found = impl_->by_id.find(id);
+  if (found == impl_->by_id.end()) return;
+  const auto entry = found->second;
+  entry->removed = true;
+  auto& groups = impl_->pipelines[entry->view->pipeline];
+  const range held{entry->view->first_layer, entry->view->last_layer};
+  auto& group = groups[held];
+  group.erase(std::find(group.begin(), group.end(), entry));
+  if (group.empty()) groups.erase(held);
+  impl_->by_id.erase(found);
+}
+
+auto router::set_vm_count(std::size_t vms) -> void {
+  impl_->vms = std::max<std::size_t>(1, vms);
+}
+
+auto router::choose(const chain_request& request, instant now)
+    -> std::optional<chain> {
+  const auto groups = impl_->pipelines.find(request.pipeline);
+  if (groups == impl_->pipelines.end())
+    return fail("route.choose", request.pipeline, "no endpoints");
+  ++impl_->turn;
+  const auto best = impl_->best_chain(groups->second, request, now);
+  if (!best)
+    return fail("route.choose", request.pipeline,
+                "no free chain over all layers");
+  chain stages;
+  for (const auto& [entry, layers] : best->stages)
+    stages.push_back({entry->view, layers.first, layers.second});
+  return stages;
+}
+
+auto router::started(const chain& stages, bool suspect) -> void {
+  for (const auto& stage : stages) {
+    const auto found = impl_->by_id.find(stage.endpoint->id);
+    if (found == impl_->by_id.end()) continue;
+    found->second->outstanding += 1;
+    found->second->suspects += suspect ? 1 : 0;
+  }
+}
+
+auto router::ended(const chain& stages, bool suspect, dispatch_result result,
+                   const std::string& at_fault, instant now) -> void {
+  for (const auto& stage : stages) {
+    const auto found = impl_->by_id.find(stage.endpoint->id);
+    if (found == impl_->by_id.end()) continue;
+    auto& entry = *found->second;
+    if (entry.view != stage.endpoint) continue;  // a later incarnation
+    entry.outstanding = std::max(0.0, entry.outstanding - 1);
+    entry.suspects -= suspect ? 1 : 0;
+    impl_->settle(entry, result, at_fault == stage.endpoint->id, now);
+  }
+}
+
+auto router::learn(const std::vector<load_report>& reports,
+                   const chain& stages, instant now) -> void {
+  for (std::size_t i = 0; i < reports.size(); ++i) {
+    const auto& report = reports[i];
+    const auto found = impl_->by_id.find(report.endpoint);
+    if (found == impl_->by_id.end()) continue;
+    auto& entry = *found->second;
+    entry.reported = std::max(0.0, report.running - entry.outstanding);
+    entry.reported_at = now;
+    if (report.layer_time > duration::zero()) {
+      entry.layer_time = blend(entry.layer_time, report.layer_time);
+      auto& kind = impl_->kind_time[entry.view->kind];
+      kind = blend(kind, report.layer_time);
+    }
+    if (i + 1 >= stages.size() || report.link_time <= duration::zero())
+      continue;
+    const auto& next = *stages[i + 1].endpoint;
+    auto& zone = impl_->zone_links[{entry.view->zone, next.zone}];
+    const auto link = std::make_pair(report.endpoint, next.id);
+    const auto is_slow =
+        zone != duration::zero() && report.link_time > 4 * zone;
+    if (!is_slow) {
+      zone = blend(zone, report.link_time);
+      impl_->slow_links.erase(link);
+    } else if (impl_->slow_links.size() < most_links) {
+      impl_->slow_links[link] = report.link_time;
+    }
+  }
+}
+
+auto router::token_time(const chain& stages) const -> duration {
+  duration sum{};
+  for (std::size_t i = 0; i < stages.size(); ++i) {
+    const auto found = impl_->by_id.find(stages[i].endpoint->id);
+    if (found == impl_->by_id.end()) continue;
+    sum += impl_->layer_time(*found->second) *
+           (stages[i].to - stages[i].from);
+    if (i + 1 < stages.size())
+      sum += impl_->link_time(*stages[i].endpoint, *stages[i + 1].endpoint);
+  }
+  return sum;
+}
+
+auto router::size() const -> std::size_t { return impl_->by_id.size(); }
+
+auto router::knows(const std::string& id) const -> bool {
+  return impl_->by_id.count(id) != 0;
+}
+
+}  // namespace pollenloft
--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,171 @@
+#include "pollenloft/settings.hpp"
+
+#include <boost/program_options.hpp>
+#include <iostream>
+#include <sstream>
+
+namespace pollenloft {
+
+namespace {
+
+namespace po = boost::program_options;
+constexpr auto version = "pollenloft 0.1.0";
+constexpr auto environment_prefix = "POLLENLOFT_";
+
+auto split(const std::string& text, char separator)
+    -> std::vector<std::string> {
+  std::vector<std::string> parts;
+  std::istringstream in(text);
+  for (std::string part; std::getline(in, part, separator);)
+    parts.push_back(part);
+  return parts;
+}
+
+auto parse_address_list(const std::string& text)
+    -> std::optional<std::map<std::string, socket_address>> {
+  std::map<std::string, socket_address> parsed;
+  for (const auto& part : split(text, ',')) {
+    const auto equals = part.find('=');
+    if (equals == std::string::npos) return std::nullopt;
+    const auto address = parse_socket_address(part.substr(equals + 1));
+    if (!address) return std::nullopt;
+    parsed[part.substr(0, equals)] = *address;
+  }
+  return parsed;
+}
+
+/// Why `value` is not allowed, or empty.
+auto fault_of(const setting_domain& domain, const std::string& value)
+    -> std::string {
+  return std::visit(
+      overloaded{
+          [](const any_text&) { return std::string(); },
+          [&](const nonempty_text&) {
+            return std::string(value.empty() ? "a text that is not empty" : "");
+          },
+          [&](const number_in& range) {
+            const auto number = parse_number(value);
+            if (number && *number >= range.least && *number <= range.most)
+              return std::string();
+            return "a whole number from " + std::to_string(range.least) +
+                   " to " + std::to_string(range.most);
+          },
+          [&](const one_address&) {
+            return std::string(parse_socket_address(value) ? ""
+                                                           : "a.b.c.d:port");
+          },
+          [&](const address_list&) {
+            return std::string(
+                parse_address_list(value) ? "" : "id=a.b.c.d:port,...");
+          },
+          [&](const one_of& choice) {
+            std::string names;
+            for (const auto& name : choice.values) {
+              if (name == value) return std::string();
+              names += (names.empty() ? "" : "|") + name;
+            }
+            return names;
+          }},
+      domain);
+}
+
+auto variable_name(const std::string& flag) -> std::string {
+  auto name = environment_prefix + flag;
+  for (auto& c : name)
+    c = c == '-' ? '_' : static_cast<char>(std::toupper(c));
+  return name;
+}
+
+auto check_all(const std::vector<setting>& known,
+               const std::map<std::string, std::string>& values) -> bool {
+  auto sound = true;
+  for (const auto& item : known) {
+    const auto& value = values.at(item.name);
+    const auto allowed = fault_of(item.domain, value);
+    if (allowed.empty()) continue;
+    std::cerr << "setting=" << item.name << " value=\"" << value
+              << "\" allowed=\"" << allowed << "\"\n";
+    sound = false;
+  }
+  return sound;
+}
+
+}  // namespace
+
+auto settings::text(const std::string& name) const -> const std::string& {
+  return values_.at(name);
+}
+
+auto settings::number(const std::string& name) const -> std::int64_t {
+  return *parse_number(text(name));
+}
+
+auto settings::millis(const std::string& name) const -> milliseconds {
+  return milliseconds(number(name));
+}
+
+auto settings::address(const std::string& name) const -> socket_address {
+  return *parse_socket_address(text(name));
+}
+
+auto settings::addresses(const std::string& name) const
+    -> std::map<std::string, socket_address> {
+  return *parse_address_list(text(name));
+}
+
+auto settings::flag(const std::string& name) const -> bool {
+  return text(name) == "true";
+}
+
+auto parse_settings(const std::string& usage, const std::vector<setting>& known,
+                    int argc, char** argv) -> std::variant<settings, int> {
+  po::options_description options("Settings");
+  auto add = options.add_options();
+  add("help", "show this text");
+  add("version", "show the version");
+  for (const auto& item : known)
+    add(item.name.c_str(), po::value<std::string>(), item.help.c_str());
+  add("argument", po::value<std::vector<std::string>>(), "");
+  po::positional_options_description rest;
+  rest.add("argument", -1);
+
+  po::variables_map found;
+  try {
+    po::store(po::command_line_parser(argc, argv)
+                  .options(options)
+                  .positional(rest)
+                  .run(),
+              found);
+    po::store(po::parse_environment(
+                  options,
+                  [&](const std::string& variable) -> std::string {
+                    for (const auto& item : known)
+                      if (variable == variable_name(item.name))
+                        return item.name;
+                    return "";
+                  }),
+              found);
+  } catch (const po::error& bad) {
+    std::cerr << "setting=? value=\"\" allowed=\"" << bad.what() << "\"\n";
+    return 2;
+  }
+  if (found.count("help") != 0) {
+    std::cout << "Usage: " << usage << "\n" << options;
+    return 0;
+  }
+  if (found.count("version") != 0) {
+    std::cout << version << "\n";
+    return 0;
+  }
+  settings result;
+  for (const auto& item : known)
+    result.values_[item.name] = found.count(item.name) != 0
+                                    ? found[item.name].as<std::string>()
+                                    : item.fallback;
+  if (found.count("argument") != 0)
+    result.rest_ = found["argument"].as<std::vector<std::string>>();
+  if (!check_all(known, result.values_)) return 2;
+  return result;
+}
+
+}  // namespace pollenloft
--- /dev/null
+++ b/src/wire.cpp
@@ -0,0 +1,199 @@
+#include "pollenloft/wire.hpp"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace pollenloft {
+
+namespace {
+
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+using protocol = TCompactProtocolT<TMemoryBuffer>;
+
+template <class To, class From>
+auto cast(From value) -> To {
+  return static_cast<To>(value);
+}
+
+auto to_wire(const log_entry& from) -> wire::entry {
+  wire::entry to;
+  to.term = cast<std::int64_t>(from.term);
+  to.index = cast<std::int64_t>(from.index);
+  to.kind = cast<std::int8_t>(from.kind);
+  to.data = from.data;
+  return to;
+}
+
+auto from_wire(wire::entry from) -> log_entry {
+  return {cast<log_term>(from.term), cast<log_index>(from.index),
+          cast<entry_kind>(from.kind), std::move(from.data)};
+}
+
+auto to_wire(const log_snapshot& from) -> wire::snapshot {
+  wire::snapshot to;
+  to.index = cast<std::int64_t>(from.index);
+  to.term = cast<std::int64_t>(from.term);
+  to.members.assign(from.members.begin(), from.members.end());
+  to.data = from.data;
+  return to;
+}
+
+auto from_wire(wire::snapshot from) -> log_snapshot {
+  log_snapshot to;
+  to.index = cast<log_index>(from.index);
+  to.term = cast<log_term>(from.term);
+  to.members.assign(from.members.begin(), from.members.end());
+  to.data = std::move(from.data);
+  return to;
+}
+
+auto fill(const vote_request& from, wire::replica_message& to) -> void {
+  to.pre = from.pre;
+  to.last_index = cast<std::int64_t>(from.last_index);
+  to.last_term = cast<std::int64_t>(from.last_term);
+}
+
+auto fill(const vote_reply& from, wire::replica_message& to) -> void {
+  to.pre = from.pre;
+  to.granted = from.granted;
+}
+
+auto fill(const append_request& from, wire::replica_message& to) -> void {
+  to.prev_index = cast<std::int64_t>(from.prev_index);
+  to.prev_term = cast<std::int64_t>(from.prev_term);
+  to.commit = cast<std::int64_t>(from.commit);
+  to.leader_last = cast<std::int64_t>(from.leader_last);
+  to.round = cast<std::int64_t>(from.round);
+  for (const auto& entry : from.entries) to.entries.push_back(to_wire(entry));
+}
+
+auto fill(const append_reply& from, wire::replica_message& to) -> void {
+  to.matched = from.matched;
+  to.index = cast<std::int64_t>(from.index);
+  to.round = cast<std::int64_t>(from.round);
+}
+
+auto fill(const install_request& from, wire::replica_message& to) -> void {
+  to.install = to_wire(from.snapshot);
+  to.round = cast<std::int64_t>(from.round);
+}
+
+auto fill(const recover_request& from, wire::replica_message& to) -> void {
+  to.nonce = cast<std::int64_t>(from.nonce);
+}
+
+auto fill(const recover_reply& from, wire::replica_message& to) -> void {
+  to.nonce = cast<std::int64_t>(from.nonce);
+  to.fresh = from.fresh;
+}
+
+auto fill(const campaign_request& /*from*/, wire::replica_message& /*to*/)
+    -> void {}
+
+auto read_append(wire::replica_message& from) -> append_request {
+  append_request to;
+  to.prev_index = cast<log_index>(from.prev_index);
+  to.prev_term = cast<log_term>(from.prev_term);
+  to.commit = cast<log_index>(from.commit);
+  to.leader_last = cast<log_index>(from.leader_last);
+  to.round = cast<std::uint64_t>(from.round);
+  for (auto& entry : from.entries)
+    to.entries.push_back(from_wire(std::move(entry)));
+  return to;
+}
+
+}  // namespace
+
+auto to_wire(const replica_message& from) -> wire::replica_message {
+  wire::replica_message to;
+  to.sender = cast<std::int32_t>(from.from);
+  to.receiver = cast<std::int32_t>(from.to);
+  to.term = cast<std::int64_t>(from.term);
+  to.kind = cast<std::int8_t>(from.body.index());
+  std::visit([&](const auto& body) { fill(body, to); }, from.body);
+  return to;
+}
+
+auto from_wire(wire::replica_message from) -> std::optional<replica_message> {
+  replica_message to;
+  to.from = cast<replica_id>(from.sender);
+  to.to = cast<replica_id>(from.receiver);
+  to.term = cast<log_term>(from.term);
+  const auto round = cast<std::uint64_t>(from.round);
+  switch (from.kind) {
+    case 0:
+      to.body = vote_request{from.pre, cast<log_index>(from.last_index),
+                             cast<log_term>(from.last_term)};
+      return to;
+    case 1:
+      to.body = vote_reply{from.pre, from.granted};
+      return to;
+    case 2:
+      to.body = read_append(from);
+      return to;
+    case 3:
+      to.body =
+          append_reply{from.matched, cast<log_index>(from.index), round};
+      return to;
+    case 4:
+      to.body = install_request{from_wire(std::move(from.install)), round};
+      return to;
+    case 5:
+      to.body = recover_request{cast<std::uint64_t>(from.nonce)};
+      return to;
+    case 6:
+      to.body = recover_reply{cast<std::uint64_t>(from.nonce), from.fresh};
+      return to;
+    case 7:
+      to.body = campaign_request{};
+      return to;
+    default:
+      return fail("wire.decode", std::to_string(from.sender),
+                  "unknown message kind " + std::to_string(from.kind));
+  }
+}
+
+template <class Message>
+auto encode_wire(const Message& message) -> std::string {
+  auto buffer = std::make_shared<TMemoryBuffer>();
+  protocol out(buffer);
+  message.write(&out);
+  return buffer->getBufferAsString();
+}
+
+template <class Message>
+auto decode_wire(std::string_view bytes) -> std::optional<Message> {
+  // The buffer only observes the bytes; Thrift's interface takes no const.
+  auto* data = reinterpret_cast<std::uint8_t*>(  // NOLINT
+      const_cast<char*>(bytes.data()));          // NOLINT
+  auto buffer = std::make_shared<TMemoryBuffer>(
+      data, static_cast<std::uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE);
+  protocol in(buffer);
+  Message message;
+  try {
+    message.read(&in);
+  } catch (const std::exception& bad) {
+    return fail("wire.decode", "message", bad.what());
+  }
+  return message;
+}
+
+#define POLLENLOFT_WIRE_MESSAGE(type)                                  \
+  template auto encode_wire(const wire::type&) -> std::string;         \
+  template auto decode_wire(std::string_view) -> std::optional<wire::type>;
+
+POLLENLOFT_WIRE_MESSAGE(message_batch)
+POLLENLOFT_WIRE_MESSAGE(command)
+POLLENLOFT_WIRE_MESSAGE(control_snapshot)
+POLLENLOFT_WIRE_MESSAGE(renew_request)
+POLLENLOFT_WIRE_MESSAGE(renew_reply)
+POLLENLOFT_WIRE_MESSAGE(report_request)
+POLLENLOFT_WIRE_MESSAGE(report_reply)
+POLLENLOFT_WIRE_MESSAGE(claim_record)
+POLLENLOFT_WIRE_MESSAGE(claim_reply)
+POLLENLOFT_WIRE_MESSAGE(settle_command)
+POLLENLOFT_WIRE_MESSAGE(settle_reply)
+POLLENLOFT_WIRE_MESSAGE(blame_command)
+
+}  // namespace pollenloft
--- /dev/null
+++ b/support/pollenloft.thrift
@@ -0,0 +1,90 @@
+// Messages between pollenloft's own processes and records in the replicated
+// log. Times are milliseconds. Regenerate with scripts/generate.
+namespace cpp pollenloft.wire
+
+struct entry { 1: i64 term, 2: i64 index, 3: i8 kind, 4: binary data }
+
+struct snapshot {
+  1: i64 index, 2: i64 term, 3: list<i32> members, 4: binary data
+}
+
+// One message of the replicated log; `kind` is the alternative's number.
+struct replica_message {
+  1: i32 sender, 2: i32 receiver, 3: i64 term, 4: i8 kind,
+  5: bool pre, 6: bool granted, 7: i64 last_index, 8: i64 last_term,
+  9: i64 prev_index, 10: i64 prev_term, 11: i64 commit, 12: i64 leader_last,
+  13: i64 round, 14: list<entry> entries, 15: bool matched, 16: i64 index,
+  17: snapshot install, 18: i64 nonce, 19: bool fresh
+}
+
+struct message_batch { 1: list<replica_message> messages }
+
+// A client account's right to run one non-idempotent request.
+struct claim_record {
+  1: string account, 2: string key, 3: i64 fingerprint, 4: string holder,
+  5: string dispatch, 6: i64 at_ms, 7: i8 state, 8: i32 status, 9: binary body
+}
+
+struct patch_command {
+  1: i64 base, 2: string id, 3: string who, 4: string body, 5: i64 at_ms
+}
+struct settle_command {
+  1: string account, 2: string key, 3: string dispatch, 4: i8 state,
+  5: i32 status, 6: binary body, 7: i64 at_ms
+}
+// Turns the open claims of a VM that is gone into unknown ones.
+struct abandon_command { 1: string holder, 2: i64 at_ms }
+// One request crashed one more endpoint.
+struct blame_command { 1: i64 fingerprint, 2: string endpoint, 3: i64 at_ms }
+
+union command {
+  1: patch_command patch, 2: claim_record claim, 3: settle_command settle,
+  4: abandon_command abandon, 5: blame_command blame
+}
+
+struct audit_record {
+  1: i64 at_ms, 2: string who, 3: string what, 4: i64 base, 5: string result,
+  6: i64 version
+}
+struct version_record { 1: i64 version, 2: string id, 3: string body }
+struct patch_result { 1: string id, 2: i64 version, 3: string refusal }
+struct blame_record {
+  1: i64 fingerprint, 2: list<string> endpoints, 3: i64 at_ms
+}
+
+struct control_snapshot {
+  1: i64 version, 2: string configuration, 3: list<version_record> tail,
+  4: list<patch_result> results, 5: list<audit_record> audit,
+  6: list<claim_record> claims, 7: list<blame_record> blames
+}
+
+struct endpoint_record {
+  1: string id, 2: string incarnation, 3: string address, 4: string kind,
+  5: string zone, 6: string pipeline, 7: i32 first_layer, 8: i32 last_layer,
+  9: i32 slots, 10: i8 state, 11: string owner, 12: i64 sequence,
+  13: bool fencing, 14: i32 token_us
+}
+
+struct account_usage { 1: string account, 2: double cost }
+
+struct renew_request {
+  1: string vm, 2: string incarnation, 3: i64 in_force, 4: i64 term,
+  5: i64 directory_sequence, 6: list<account_usage> usage, 7: string zone,
+  8: string address, 9: bool draining, 10: bool first
+}
+struct renew_reply {
+  1: bool granted, 2: string leader, 3: i64 lease_ms, 4: i64 term,
+  5: i64 version, 6: list<version_record> patches, 7: string configuration,
+  8: i64 directory_sequence, 9: bool directory_full,
+  10: list<endpoint_record> endpoints, 11: i32 vm_count,
+  12: list<account_usage> usage, 13: list<blame_record> blames
+}
+
+// Endpoints that announced themselves to the reporting VM.
+struct report_request { 1: string vm, 2: list<endpoint_record> endpoints }
+struct report_reply { 1: bool accepted, 2: string leader }
+
+struct claim_reply {
+  1: i8 answer, 2: claim_record record, 3: string leader
+}
+struct settle_reply { 1: bool accepted, 2: string leader }
