Find and mend faults in answers by checks on real processes

An engine's end was taken without the tokens that another answer had carried off. The body of a refusal went to the stream reader, so 'full' was read as a fault of the endpoint. A refusal for want of a place no longer uses up an attempt; the endpoint is left alone for 5 to 10 ms. - A crashed or unreachable endpoint was chosen until its heartbeat timed out (2 s); it is ejected at once. The cap on ejection counts per pipeline, and gives way where nobody else holds a layer.

Ruled out for the second: the retry budget; its use was a consequence.

--- a/include/pollenloft/engine.hpp
+++ b/include/pollenloft/engine.hpp
@@ -40,6 +40,7 @@
 };
 /// The answer is whole.
 struct end_event {
+  std::int64_t tokens = 0;  ///< of the whole answer, from its first token
   std::vector<load_report> loads;
 };
 /// A stage of the chain failed; the answer stops here.
@@ -52,16 +53,25 @@
 
 /// Cuts a byte stream into engine events:
 ///
+///     event_reader reader(event_tag("r-17", 2));
 ///     for (auto& event : reader.feed(bytes)) std::visit(visitor, event);
 class event_reader {
  public:
+  /// Events that do not carry `tag` belong to another answer; they are
+  /// dropped.
+  explicit event_reader(std::string tag = "") : tag_(std::move(tag)) {}
+
   /// Events completed by these bytes; malformed ones become stage failures.
   auto feed(std::string_view bytes) -> std::vector<engine_event>;
 
  private:
+  std::string tag_;
   std::string pending_;
 };
 
+/// The tag of all events of one dispatch.
+auto event_tag(const std::string& request, std::size_t attempt) -> std::string;
+
 /// Why an endpoint refused a call.
 struct engine_refusal {
   std::string endpoint;
--- a/include/pollenloft/lifecycle.hpp
+++ b/include/pollenloft/lifecycle.hpp
@@ -29,6 +29,7 @@
   refused,
   began,
   completed,
+  busy,  ///< refused for want of a place; nothing ran
   not_run,
   broken,
   stalled,
@@ -73,6 +74,7 @@
   bool needs_claim = false;  ///< non-idempotent with a key
   bool idempotent = true;
   std::size_t most_attempts = 4;
+  std::size_t most_crashes = 2;  ///< endpoints the request may take down
 };
 
 /// The names a request chart may use.
@@ -90,6 +92,8 @@
   /// Takes an event and returns what must be done, in order. Events that mean
   /// nothing in the present state are ignored.
   auto step(request_event event) -> std::vector<request_action>;
+  /// An endpoint crashed while it ran this request.
+  auto note_crash() -> void { ++crashes_; }
   auto ended() const -> bool { return plan_.is_final(state_); }
   auto state() const -> const std::string& { return state_; }
   /// Dispatches so far; also the number that fences earlier ones.
@@ -105,6 +109,8 @@
   retry_budget& budget_;
   std::string state_;
   std::size_t attempt_ = 0;
+  std::size_t crashes_ = 0;
+  std::size_t refusals_ = 0;
   bool untouched_ = true;
   bool in_doubt_ = false;  // the latest dispatch may have run
 };
--- a/include/pollenloft/net.hpp
+++ b/include/pollenloft/net.hpp
@@ -169,8 +169,9 @@
 };
 using call_result = std::variant<call_answered, call_unsent, call_broken>;
 
-/// What to do as an answer arrives. `on_head` and `on_data` may be empty; if
-/// `on_data` is empty the body is passed to `on_done` whole.
+/// What to do as an answer arrives. `on_head` and `on_data` may be empty. The
+/// body of an answer with another status than 200, and any body if `on_data`
+/// is empty, is passed to `on_done` whole.
 struct call_handlers {
   sigc::slot<void(int, const http_headers&)> on_head;
   sigc::slot<void(std::string_view)> on_data;
--- a/include/pollenloft/route.hpp
+++ b/include/pollenloft/route.hpp
@@ -47,7 +47,13 @@
 };
 
 /// How a dispatch ended for an endpoint.
-enum class dispatch_result { served, refused, failed, abandoned };
+enum class dispatch_result {
+  served,
+  refused,   ///< no place; nothing ran
+  failed,    ///< broke off; ejected after several in a row
+  down,      ///< crashed, unreachable or leaving; ejected at once
+  abandoned  ///< given up by this side
+};
 
 /// Ways to choose a chain.
 struct policy_predicted {};
@@ -72,6 +78,7 @@
   std::int32_t layers = 1;
   bool suspect = false;  ///< was on an endpoint that crashed
   const std::set<std::string>* avoid = nullptr;  ///< endpoint ids
+  bool use_ejected = false;  ///< set by the router itself
 };
 
 class router {
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -106,4 +106,4 @@
   pids=()
   if [[ -n $work && -z ${POLLENLOFT_KEEP:-} ]]; then rm -rf "$work"; fi
 }
-trap stop_all EXIT
+trap stop_all EXIT INT TERM
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -18,6 +18,9 @@
 constexpr auto most_stall = std::chrono::seconds(2);
 constexpr auto first_token_patience = milliseconds(1500);
 constexpr double tokens_per_prompt_byte = 0.25;
+// Requests that were on a crashed endpoint come back spread over this time, so
+// that the one at fault is alone when it takes down the next.
+constexpr auto suspect_spread = milliseconds(150);
 
 auto to_ms(duration d) -> milliseconds {
   return std::chrono::duration_cast<milliseconds>(d);
@@ -40,7 +43,9 @@
       call_(std::move(call)),
       given_(std::move(parameters)),
       life_(host.request_chart(),
-            {!given_.idempotent && !given_.key.empty(), given_.idempotent},
+            {!given_.idempotent && !given_.key.empty() &&
+                 host.switched_off() != "claims",
+             given_.idempotent && host.switched_off() != "resume"},
             host.budget()),
       dispatch_id_(host.vm_incarnation() + "/" + std::to_string(given_.id)) {}
 
@@ -85,8 +90,9 @@
     case request_action::release:
       return settle(claim_state::open, 0, "");
     case request_action::enqueue:
-      return host_.enqueue(shared_from_this(), life_.attempt() > 0);
+      return enqueue();
     case request_action::dequeue:
+      suspect_delay_ = timer();
       return host_.dequeue(shared_from_this());
     case request_action::dispatch:
       return;  // done by `dispatch`, which took the slot
@@ -102,6 +108,18 @@
   }
 }
 
+auto caller_request::enqueue() -> void {
+  if (!suspect_)
+    return host_.enqueue(shared_from_this(), life_.attempt() > 0);
+  const auto delay = duration(static_cast<std::int64_t>(
+      hash64(dispatch_id_, life_.attempt()) %
+      static_cast<std::uint64_t>(duration(suspect_spread).count())));
+  suspect_delay_ = host_.loop().after(delay, [self = weak_from_this()] {
+    auto held = self.lock();
+    if (held && held->queued()) held->host_.enqueue(held, true);
+  });
+}
+
 // --- claims ----------------------------------------------------------------
 
 auto caller_request::make_claim() -> void {
@@ -196,7 +214,9 @@
   host_.routes().started(stages_, suspect_);
   placed_ = true;
   plan_whole_ = false;
-  reader_ = event_reader();
+  reader_ = event_reader(host_.switched_off() == "tags"
+                             ? ""
+                             : event_tag(dispatch_id_, life_.attempt()));
   if (life_.attempt() == 1)
     host_.numbers().observe("pollenloft_queue_seconds",
                             boottime_clock::now() - given_.arrived);
@@ -253,7 +273,8 @@
 auto caller_request::take_token(const token_event& token) -> void {
   if (token.index < tokens_) return;
   if (token.index > tokens_)
-    return take_stage_failure({"", "a token is missing"});
+    return take_stage_failure(
+        {stages_.front().endpoint->id, "a token is missing"});
   const auto now = boottime_clock::now();
   if (tokens_ == 0)
     host_.numbers().observe("pollenloft_first_token_seconds",
@@ -269,6 +290,9 @@
 }
 
 auto caller_request::take_end(const end_event& end) -> void {
+  if (end.tokens != tokens_)
+    return take_stage_failure(
+        {stages_.front().endpoint->id, "tokens are missing at the end"});
   host_.routes().learn(end.loads, stages_, boottime_clock::now());
   plan_whole_ = true;
   if (conversation_) conversation_->cancel();
@@ -301,7 +325,7 @@
           [&](const call_unsent& unsent) {
             log_failure("endpoint.unreachable", unsent.cause);
             avoid_.insert(head);
-            free_places(dispatch_result::failed, head);
+            free_places(dispatch_result::down, head);
             step(request_event::not_run);
           },
           [&](const call_broken& broken) {
@@ -314,8 +338,11 @@
 auto caller_request::take_refusal(std::string_view body) -> void {
   const auto refusal = read_refusal(body);
   reason_ = "the endpoints are busy";
-  free_places(dispatch_result::refused, refusal.endpoint);
-  if (refusal.reason != "full") avoid_.insert(refusal.endpoint);
+  const auto full = refusal.reason == "full";
+  free_places(full ? dispatch_result::refused : dispatch_result::down,
+              refusal.endpoint);
+  if (full) return step(request_event::busy);
+  avoid_.insert(refusal.endpoint);
   step(request_event::not_run);
 }
 
@@ -372,7 +399,7 @@
                  [&](const call_unsent& unsent) {
                    log_failure("endpoint.unreachable", unsent.cause);
                    avoid_.insert(endpoint);
-                   free_places(dispatch_result::failed, endpoint);
+                   free_places(dispatch_result::down, endpoint);
                    step(request_event::not_run);
                  },
                  [&](const call_broken& broken) {
@@ -390,9 +417,11 @@
   host_.numbers().add("pollenloft_attempts_failed_total");
   reason_ = "an endpoint failed while running the request";
   avoid_.insert(endpoint);
-  free_places(dispatch_result::failed, endpoint);
+  free_places(crashed ? dispatch_result::down : dispatch_result::failed,
+              endpoint);
   if (crashed) {
     suspect_ = true;
+    if (host_.switched_off() != "blame") life_.note_crash();
     host_.control().blame(given_.fingerprint, endpoint);
   }
   step(request_event::broken);
--- a/src/caller_request.hpp
+++ b/src/caller_request.hpp
@@ -34,6 +34,8 @@
   virtual auto numbers() -> metrics& = 0;
   virtual auto request_chart() const -> const chart& = 0;
   virtual auto budget() -> retry_budget& = 0;
+  /// Names a mechanism that a check has switched off; empty in production.
+  virtual auto switched_off() const -> const std::string& = 0;
   virtual auto vm_name() const -> const std::string& = 0;
   virtual auto vm_incarnation() const -> const std::string& = 0;
   /// Queues a request, at the front if it was dispatched before.
@@ -85,6 +87,7 @@
 
  private:
   auto carry_out(request_action action) -> void;
+  auto enqueue() -> void;
   auto make_claim() -> void;
   auto take_claim(const std::optional<wire::claim_reply>& reply) -> void;
   auto settle(claim_state state, int status, const std::string& body) -> void;
@@ -123,6 +126,7 @@
   timer deadline_;
   timer stall_;
   timer claim_retry_;
+  timer suspect_delay_;
   conversation_ptr conversation_;
   chain stages_;
   bool placed_ = false;
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -36,6 +36,8 @@
     {"heartbeat-ms", "100", number_in{10, 5000}, "leader's heartbeat"},
     {"election-ms", "300", number_in{50, 30000},
      "least time without a leader before an election; at most half the lease"},
+    {"switch-off", "none", one_of{{"none", "lease-wait"}},
+     "for checks only: run without one mechanism, to see its proof fail"},
     {"log-level", "info", one_of{{"debug", "info", "warning", "error"}},
      "lowest level written"}};
 
@@ -64,6 +66,7 @@
         peers_(given.addresses("peers")),
         id_(static_cast<replica_id>(given.number("id"))),
         leases_(given.millis("lease-ms")),
+        no_lease_wait_(given.text("switch-off") == "lease-wait"),
         replica_(make_options(given), disk_.take_found(),
                  boottime_clock::now()) {}
 
@@ -530,7 +533,9 @@
   auto answer_patches(instant now) -> void {
     std::vector<waiting_patch> still;
     for (auto& waiting : std::exchange(patches_, {})) {
-      if (in_charge() && leases_.in_force_everywhere(waiting.version, now))
+      if (in_charge() &&
+          (no_lease_wait_ ||
+           leases_.in_force_everywhere(waiting.version, now)))
         json_reply(waiting.call, 200, {{"version", waiting.version}});
       else if (now >= waiting.due)
         json_reply(waiting.call, 504,
@@ -655,6 +660,7 @@
   std::map<std::string, socket_address> peers_;
   replica_id id_;
   lease_table leases_;
+  bool no_lease_wait_;
   replica replica_;
   control_state state_;
   endpoint_directory directory_;
--- a/src/engine.cpp
+++ b/src/engine.cpp
@@ -47,11 +47,14 @@
   return loads;
 }
 
-auto read_event(std::string_view text) -> engine_event {
+/// Empty for an event of another answer.
+auto read_event(std::string_view text, const std::string& tag)
+    -> std::optional<engine_event> {
   const auto body = json::parse(text, nullptr, false);
   if (!body.is_object())
     return stage_failure{"", "malformed event from the engine"};
   try {
+    if (!tag.empty() && body.value("r", "") != tag) return std::nullopt;
     if (body.contains("t"))
       return token_event{body.at("i").get<std::int64_t>(),
                          body.at("t").get<std::string>()};
@@ -59,7 +62,7 @@
       return stage_failure{body.value("endpoint", ""),
                            body.value("reason", ""),
                            body.value("crashed", false)};
-    return end_event{read_loads(body)};
+    return end_event{body.at("n").get<std::int64_t>(), read_loads(body)};
   } catch (const json::exception& bad) {
     return stage_failure{"", bad.what()};
   }
@@ -94,6 +97,11 @@
   return result;
 }
 
+auto event_tag(const std::string& request, std::size_t attempt)
+    -> std::string {
+  return request + "/" + std::to_string(attempt);
+}
+
 auto event_reader::feed(std::string_view bytes) -> std::vector<engine_event> {
   std::vector<engine_event> events;
   pending_ += bytes;
@@ -102,7 +110,8 @@
        end = pending_.find("\n\n", from)) {
     const auto line = std::string_view(pending_).substr(from, end - from);
     if (line.substr(0, 6) == "data: ")
-      events.push_back(read_event(line.substr(6)));
+      if (auto event = read_event(line.substr(6), tag_))
+        events.push_back(std::move(*event));
     from = end + 2;
   }
   pending_.erase(0, from);
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -64,8 +64,14 @@
   return true;
 }
 
+/// Checked at each dispatch and not by a timer.
+auto entry_server::may_serve() const -> bool {
+  return control_.lease_valid() ||
+         (options_.switched_off == "lease" && control_.config().version > 0);
+}
+
 auto entry_server::ready() const -> bool {
-  return phase_ == drain_phase::serving && control_.lease_valid();
+  return phase_ == drain_phase::serving && may_serve();
 }
 
 // --- routes ----------------------------------------------------------------
@@ -201,7 +207,8 @@
                          request_parameters parameters) -> void {
   if (requests_.size() >= most_requests)
     return refuse(call, 503, "Too many requests are open on this VM.");
-  if (control_.blames(parameters.fingerprint) >= crashes_to_condemn)
+  if (control_.blames(parameters.fingerprint) >= crashes_to_condemn &&
+      options_.switched_off != "blame")
     return refuse(call, 422,
                   "This request has crashed endpoints and is not run again.");
   budget_.earn();
@@ -345,7 +352,7 @@
 auto entry_server::pump() -> void {
   pump_posted_ = false;
   const auto now = boottime_clock::now();
-  if (!control_.lease_valid()) {
+  if (!may_serve()) {
     if (had_lease_) log_event(log_level::warning, "lease.lost", {});
     had_lease_ = false;
     return refuse_queued("This VM has no configuration lease.",
@@ -419,6 +426,7 @@
 // --- shutdown --------------------------------------------------------------
 
 auto entry_server::shut_down() -> void {
+  if (options_.switched_off == "drain") return loop_.stop();
   if (phase_ == drain_phase::refusing) return end_open_requests();
   log_event(log_level::info, "drain.started", {{"open", requests_.size()}});
   phase_ = drain_phase::notice;
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -23,6 +23,7 @@
   milliseconds grace{30000};        ///< then open requests are ended
   std::size_t most_queued = 2000;   ///< requests waiting for each service
   std::uint64_t seed = 1;
+  std::string switched_off;         ///< by a check: lease, claims, resume, ...
 };
 
 class entry_server : public request_host {
@@ -40,6 +41,9 @@
   auto numbers() -> metrics& override { return metrics_; }
   auto request_chart() const -> const chart& override { return chart_; }
   auto budget() -> retry_budget& override { return budget_; }
+  auto switched_off() const -> const std::string& override {
+    return options_.switched_off;
+  }
   auto vm_name() const -> const std::string& override { return options_.vm; }
   auto vm_incarnation() const -> const std::string& override {
     return incarnation_;
@@ -54,6 +58,7 @@
   enum class drain_phase { serving, notice, refusing };
 
   auto route(const exchange_ptr& call) -> void;
+  auto may_serve() const -> bool;
   auto ready() const -> bool;
   auto take_completion(const exchange_ptr& call) -> void;
   auto take_plain(const exchange_ptr& call) -> void;
--- a/src/entryd.cpp
+++ b/src/entryd.cpp
@@ -27,6 +27,9 @@
     {"queue", "2000", number_in{1, 1000000},
      "requests that may wait for each service"},
     {"seed", "0", number_in{0, INT64_MAX}, "random seed; 0 takes the clock"},
+    {"switch-off", "none",
+     one_of{{"none", "lease", "claims", "resume", "tags", "blame", "drain"}},
+     "for checks only: run without one mechanism, to see its proof fail"},
     {"log-level", "info", one_of{{"debug", "info", "warning", "error"}},
      "lowest level written"}};
 
@@ -42,6 +45,8 @@
   options.grace = given.millis("grace-ms");
   options.most_queued = static_cast<std::size_t>(given.number("queue"));
   options.seed = static_cast<std::uint64_t>(given.number("seed"));
+  if (given.text("switch-off") != "none")
+    options.switched_off = given.text("switch-off");
   if (options.seed == 0)
     options.seed = hash64(options.vm, static_cast<std::uint64_t>(
                                           wall_clock().count()));
--- a/src/lifecycle.cpp
+++ b/src/lifecycle.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-constexpr std::array<const char*, 15> event_names{
+constexpr std::array<const char*, 16> event_names{
     "start",  "claim_granted", "claim_held", "claim_settled", "claim_refused",
     "claim_again", "slot",     "refused",    "began",         "completed",
-    "not_run",     "broken",   "stalled",    "deadline",      "caller_gone"};
+    "busy",   "not_run",       "broken",   "stalled",    "deadline",      "caller_gone"};
 constexpr std::array<const char*, 11> action_names{
     "claim",    "claim_later", "replay",        "release",     "enqueue",
     "dequeue",  "dispatch",    "cancel",        "end_completed",
@@ -63,7 +63,8 @@
 auto request_lifecycle::holds(const std::string& guard) -> bool {
   if (guard == "needs_claim") return facts_.needs_claim;
   if (guard == "untouched") return untouched_;
-  const auto again = attempt_ < facts_.most_attempts;
+  const auto again = attempt_ - refusals_ < facts_.most_attempts &&
+                     crashes_ < facts_.most_crashes;
   // A refusal that proves nothing ran costs no endpoint work, yet it still
   // counts against the budget: an outage answers with refusals too.
   if (guard == "may_retry") return again && budget_.spend();
@@ -76,10 +77,12 @@
     -> std::vector<request_action> {
   if (ended()) return {};
   // A dispatch counts as possibly run until it is proved otherwise.
-  if (event == request_event::not_run && !in_doubt_) return {};
+  const auto proved_not_run =
+      event == request_event::not_run || event == request_event::busy;
+  if (proved_not_run && !in_doubt_) return {};
   const auto was_untouched = untouched_;
   const auto was_in_doubt = in_doubt_;
-  if (event == request_event::not_run) in_doubt_ = false;
+  if (proved_not_run) in_doubt_ = false;
   if (in_doubt_) untouched_ = false;
   const auto* way = plan_.find(
       state_, event_name(event),
@@ -93,6 +96,8 @@
     ++attempt_;
     in_doubt_ = true;
   }
+  // A refusal for want of a place used up nothing: the request waits on.
+  if (event == request_event::busy) ++refusals_;
   state_ = way->target;
   std::vector<request_action> actions;
   for (const auto& name : way->actions) actions.push_back(action_of(name));
--- a/src/load.cpp
+++ b/src/load.cpp
@@ -23,6 +23,7 @@
 constexpr auto resend_pause = milliseconds(50);
 constexpr int most_sends = 8;
 constexpr int account_count = 10;
+constexpr std::size_t reasons_printed = 10;
 constexpr double full_rate = 0.95;  // of the rate before a fault
 constexpr std::size_t rate_window = 5;  // buckets smoothed for recovery
 
@@ -319,14 +320,26 @@
       if (given_.flag("retry-refused") && answered->status == 503 &&
           boottime_clock::now() + retry_after < request->deadline)
         return send_again(request, true, retry_after);
+      note_reason(*request, answered->status, body);
       return finish(request, verdict::not_run);
     }
     request->maybe_ran = true;
-    if (outcome != "completed") return finish(request, verdict::unknown);
+    if (outcome != "completed") {
+      note_reason(*request, answered->status, body);
+      return finish(request, verdict::unknown);
+    }
     check_answer(*request, body);
     finish(request, verdict::completed);
   }
 
+  /// Prints why the first few requests were given up.
+  auto note_reason(const sent_request& request, int status,
+                   std::string_view body) -> void {
+    if (++reasons_ > reasons_printed) return;
+    std::cerr << "given up number=" << request.number << " status=" << status
+              << " answer=" << body << "\n";
+  }
+
   auto send_again(const sent_request_ptr& request, bool not_run,
                   milliseconds delay) -> void {
     if (!not_run) request->maybe_ran = true;
@@ -493,6 +506,7 @@
   std::vector<double> gaps_;
   std::vector<std::int64_t> buckets_;
   std::vector<instant> marks_;
+  std::size_t reasons_ = 0;
   std::size_t counts_wrong_ = 0;
   std::size_t counts_lost_ = 0;
   std::size_t counts_doubled_ = 0;
--- a/src/net.cpp
+++ b/src/net.cpp
@@ -350,6 +350,7 @@
   bool done = false;
   bool reusable = false;
   int status = 0;
+  std::string refusal;  // body of an answer other than 200
   std::shared_ptr<impl> self;  // keeps the state alive until released
   sigc::slot<void(evhttp_connection*)> give_back;
 
@@ -400,6 +401,11 @@
     auto* self = static_cast<impl*>(arg);
     const auto part = buffer_text(evhttp_request_get_input_buffer(handle));
     if (self->done) return;
+    self->status = evhttp_request_get_response_code(handle);
+    if (self->status != HTTP_OK) {
+      self->refusal += part;
+      return;
+    }
     auto held = self->self;
     self->handlers.on_data(part);
   }
@@ -415,7 +421,8 @@
       return self->finish(
           call_unsent{{self->step, self->peer, "connection not made"}}, {},
           false);
-    const auto rest = buffer_text(evhttp_request_get_input_buffer(handle));
+    const auto rest = self->refusal + buffer_text(evhttp_request_get_input_buffer(
+                                          handle));
     self->status = evhttp_request_get_response_code(handle);
     self->finish(call_answered{self->status}, rest, self->reusable);
   }
--- a/src/route.cpp
+++ b/src/route.cpp
@@ -14,6 +14,9 @@
 constexpr int failures_to_eject = 3;
 constexpr auto most_eject_time = std::chrono::seconds(30);
 constexpr double window_cut = 0.7;
+// An endpoint that had no place is left alone for this long, and up to as
+// long again by chance, so that the VMs do not return together.
+constexpr auto busy_pause = milliseconds(5);
 constexpr std::size_t most_links = 20000;
 
 auto seconds(duration d) -> double {
@@ -37,6 +40,7 @@
   int failures = 0;         // in a row
   duration eject_for{};
   instant ejected_until{};
+  instant busy_until{};
   bool removed = false;
 };
 
@@ -98,7 +102,8 @@
   auto usable(const endpoint_entry& entry, const chain_request& request,
               instant now) const -> bool {
     if (entry.outstanding >= std::floor(entry.window)) return false;
-    if (now < entry.ejected_until) return false;
+    if (now < entry.ejected_until && !request.use_ejected) return false;
+    if (now < entry.busy_until) return false;
     // Suspects do not share an endpoint: a crash then tells which is at fault.
     if (request.suspect && entry.suspects > 0) return false;
     return request.avoid == nullptr ||
@@ -184,20 +189,41 @@
     return whole->second.front();
   }
 
+  /// Whether the endpoints that are not ejected hold every layer.
+  static auto covered(const range_groups& groups, std::int32_t layers,
+                      instant now) -> bool {
+    std::int32_t boundary = 0;
+    for (const auto& [held, group] : groups) {
+      if (held.first > boundary) break;
+      const auto alive =
+          std::any_of(group.begin(), group.end(), [&](const auto& entry) {
+            return now >= entry->ejected_until;
+          });
+      if (alive) boundary = std::max(boundary, held.second);
+    }
+    return boundary >= layers;
+  }
+
   auto may_eject(const endpoint_entry& entry, instant now) const -> bool {
-    const auto& group = pipelines.at(entry.view->pipeline)
-                            .at({entry.view->first_layer,
-                                 entry.view->last_layer});
-    const auto ejected = std::count_if(
-        group.begin(), group.end(),
-        [&](const auto& other) { return now < other->ejected_until; });
+    std::size_t all = 0;
+    std::size_t ejected = 0;
+    for (const auto& [held, group] : pipelines.at(entry.view->pipeline))
+      for (const auto& other : group) {
+        ++all;
+        ejected += now < other->ejected_until ? 1 : 0;
+      }
     return static_cast<double>(ejected + 1) <=
-           std::max(1.0, options.eject_fraction *
-                             static_cast<double>(group.size()));
+           std::max(1.0, options.eject_fraction * static_cast<double>(all));
+  }
+
+  auto busy_time() -> duration {
+    const duration extra(static_cast<std::int64_t>(random.below(
+        static_cast<std::uint64_t>(duration(busy_pause).count()))));
+    return busy_pause + extra;
   }
 
   auto eject(endpoint_entry& entry, instant now) -> void {
-    if (entry.removed || !may_eject(entry, now)) return;
+    if (entry.removed) return;
     entry.eject_for = std::clamp<duration>(
         2 * entry.eject_for, options.eject_time, most_eject_time);
     entry.ejected_until = now + entry.eject_for;
@@ -217,12 +243,18 @@
                        entry.window + 1 / entry.window);
         break;
       case dispatch_result::refused:
-        if (at_fault) entry.window = std::max(1.0, entry.window * window_cut);
+        if (!at_fault) break;
+        entry.window = std::max(1.0, entry.window * window_cut);
+        entry.busy_until = now + busy_time();
         break;
       case dispatch_result::failed:
-        if (at_fault && ++entry.failures >= failures_to_eject)
+        if (at_fault && ++entry.failures >= failures_to_eject &&
+            may_eject(entry, now))
           eject(entry, now);
         break;
+      case dispatch_result::down:
+        if (at_fault) eject(entry, now);
+        break;
       case dispatch_result::abandoned:
         break;
     }
@@ -283,7 +315,13 @@
   if (groups == impl_->pipelines.end())
     return fail("route.choose", request.pipeline, "no endpoints");
   ++impl_->turn;
-  const auto best = impl_->best_chain(groups->second, request, now);
+  auto best = impl_->best_chain(groups->second, request, now);
+  // Ejected endpoints are better than a layer that nobody holds.
+  if (!best && !impl::covered(groups->second, request.layers, now)) {
+    auto wider = request;
+    wider.use_ejected = true;
+    best = impl_->best_chain(groups->second, wider, now);
+  }
   if (!best)
     return fail("route.choose", request.pipeline,
                 "no free chain over all layers");
--- a/src/standin_engine.cpp
+++ b/src/standin_engine.cpp
@@ -360,12 +360,14 @@
   if (work->index < work->end) return begin_token(work);
   const auto end = loads(*work);
   end_sequence(work);
-  const auto finish = [this, work, end] {
+  if (late_ == milliseconds(0)) {
     send_event(work, end);
+    return work->call->end();
+  }
+  run_later(world_.loop, late_ + milliseconds(1), [work, end] {
+    work->call->chunk("data: " + end + "\n\n");
     work->call->end();
-  };
-  if (late_ == milliseconds(0)) return finish();
-  run_later(world_.loop, late_ + milliseconds(1), finish);
+  });
 }
 
 auto engine::send_event(const sequence_ptr& work, const std::string& event)
@@ -407,7 +409,11 @@
                                      static_cast<double>(batch)},
                     {"link_us", to_us(link)}});
   }
-  return json{{"end", "stop"}, {"r", work.request}, {"loads", rows}}.dump();
+  return json{{"end", "stop"},
+              {"n", work.index},
+              {"r", work.request},
+              {"loads", rows}}
+      .dump();
 }
 
 // --- plain services --------------------------------------------------------
