Tell the request at fault from those beside it; end cleanly

A crash before the first token of an attempt now weighs twice one that came later; four points condemn. The marked request still takes down two endpoints, no more. - check graceful: exit code 134. Freeing an idle client connection called its close callback, which freed it again. - check at-most-once called 31 answers lies: the copy of the same key sent through another VM had run. The trace shows that each send was told the truth about itself; the oracle now judges a send by its copies as well.

After: poison crashed=2 served=1500 of 1500; graceful exit=0 served=1800; at-most-once doubled=0 lied=0; config-race, disk-loss, stale-leader pass.

--- a/include/pollenloft/control.hpp
+++ b/include/pollenloft/control.hpp
@@ -80,8 +80,8 @@
       -> const wire::claim_record*;
   /// Holders (VM incarnations) of open claims.
   auto claim_holders() const -> std::vector<std::string>;
-  /// Endpoints that a request's fingerprint has crashed.
-  auto blames(std::uint64_t fingerprint) const -> std::size_t;
+  /// How strongly a request's fingerprint is suspected of crashing endpoints.
+  auto blame_points(std::uint64_t fingerprint) const -> int;
   auto all_blames() const -> std::vector<wire::blame_record>;
   /// The recorded answer of an earlier patch with this id, if still kept.
   auto earlier_verdict(const std::string& patch_id) const
--- a/include/pollenloft/lifecycle.hpp
+++ b/include/pollenloft/lifecycle.hpp
@@ -74,9 +74,17 @@
   bool needs_claim = false;  ///< non-idempotent with a key
   bool idempotent = true;
   std::size_t most_attempts = 4;
-  std::size_t most_crashes = 2;  ///< endpoints the request may take down
 };
 
+/// Points against a request for each endpoint that crashes while running it.
+/// One that crashed before the request had made a token is twice as telling:
+/// a request at fault does so each time, one beside it seldom. With these,
+/// a request that crashes every endpoint is stopped after two, one that does
+/// so only after some tokens after four.
+constexpr int crash_points_at_once = 2;
+constexpr int crash_points_later = 1;
+constexpr int crash_points_condemned = 4;
+
 /// The names a request chart may use.
 auto request_chart_names() -> chart_names;
 
@@ -93,7 +101,7 @@
   /// nothing in the present state are ignored.
   auto step(request_event event) -> std::vector<request_action>;
   /// An endpoint crashed while it ran this request.
-  auto note_crash() -> void { ++crashes_; }
+  auto note_crash(int points) -> void { crash_points_ += points; }
   auto ended() const -> bool { return plan_.is_final(state_); }
   auto state() const -> const std::string& { return state_; }
   /// Dispatches so far; also the number that fences earlier ones.
@@ -109,7 +117,7 @@
   retry_budget& budget_;
   std::string state_;
   std::size_t attempt_ = 0;
-  std::size_t crashes_ = 0;
+  int crash_points_ = 0;
   std::size_t refusals_ = 0;
   bool untouched_ = true;
   bool in_doubt_ = false;  // the latest dispatch may have run
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -214,6 +214,7 @@
   host_.routes().started(stages_, suspect_);
   placed_ = true;
   plan_whole_ = false;
+  attempt_first_token_ = tokens_;
   reader_ = event_reader(host_.switched_off() == "tags"
                              ? ""
                              : event_tag(dispatch_id_, life_.attempt()));
@@ -421,8 +422,10 @@
               endpoint);
   if (crashed) {
     suspect_ = true;
-    if (host_.switched_off() != "blame") life_.note_crash();
-    host_.control().blame(given_.fingerprint, endpoint);
+    const auto points = tokens_ > attempt_first_token_ ? crash_points_later
+                                                       : crash_points_at_once;
+    if (host_.switched_off() != "blame") life_.note_crash(points);
+    host_.control().blame(given_.fingerprint, endpoint, points);
   }
   step(request_event::broken);
 }
--- a/src/caller_request.hpp
+++ b/src/caller_request.hpp
@@ -136,6 +136,7 @@
   std::set<std::string> avoid_;
   std::string answer_;
   std::int64_t tokens_ = 0;
+  std::int64_t attempt_first_token_ = 0;
   instant last_token_{};
   std::string reason_ = "no endpoint could take the request";
   milliseconds retry_after_{1000};
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -190,13 +190,15 @@
   record.at_ms = blame.at_ms;
   auto& endpoints = record.endpoints;
   if (std::find(endpoints.begin(), endpoints.end(), blame.endpoint) ==
-      endpoints.end())
+      endpoints.end()) {
     endpoints.push_back(blame.endpoint);
+    record.points += blame.points;
+  }
 }
 
-auto control_state::blames(std::uint64_t fingerprint) const -> std::size_t {
+auto control_state::blame_points(std::uint64_t fingerprint) const -> int {
   const auto found = blames_.find(static_cast<std::int64_t>(fingerprint));
-  return found == blames_.end() ? 0 : found->second.endpoints.size();
+  return found == blames_.end() ? 0 : found->second.points;
 }
 
 auto control_state::all_blames() const -> std::vector<wire::blame_record> {
--- a/src/control_client.cpp
+++ b/src/control_client.cpp
@@ -25,7 +25,7 @@
   return has_config_ && boottime_clock::now() < lease_until_;
 }
 
-auto control_client::blames(std::uint64_t fingerprint) const -> std::size_t {
+auto control_client::blame_points(std::uint64_t fingerprint) const -> int {
   const auto found = blames_.find(static_cast<std::int64_t>(fingerprint));
   return found == blames_.end() ? 0 : found->second;
 }
@@ -85,7 +85,7 @@
   for (const auto& usage : reply->usage) usage_[usage.account] = usage.cost;
   blames_.clear();
   for (const auto& blame : reply->blames)
-    blames_[blame.fingerprint] = blame.endpoints.size();
+    blames_[blame.fingerprint] = blame.points;
   first_renewal_ = false;
   if (reply->directory_full || !reply->endpoints.empty())
     endpoints_changed.emit(reply->endpoints, reply->directory_full);
@@ -204,8 +204,9 @@
 }
 
 auto control_client::blame(std::uint64_t fingerprint,
-                           const std::string& endpoint) -> void {
+                           const std::string& endpoint, int points) -> void {
   wire::blame_command command;
+  command.points = points;
   command.fingerprint = static_cast<std::int64_t>(fingerprint);
   command.endpoint = endpoint;
   call_leader("/control/blame", encode_wire(command),
--- a/src/control_client.hpp
+++ b/src/control_client.hpp
@@ -41,8 +41,9 @@
   auto cluster_usage() const -> const std::map<std::string, double>& {
     return usage_;
   }
-  /// Endpoints that a request with this fingerprint has crashed.
-  auto blames(std::uint64_t fingerprint) const -> std::size_t;
+  /// How strongly a request with this fingerprint is suspected of crashing
+  /// endpoints.
+  auto blame_points(std::uint64_t fingerprint) const -> int;
   auto set_usage_source(usage_source source) -> void {
     usage_source_ = std::move(source);
   }
@@ -54,7 +55,8 @@
   auto claim(const wire::claim_record& record, duration timeout,
              claim_done done) -> void;
   auto settle(const wire::settle_command& command) -> void;
-  auto blame(std::uint64_t fingerprint, const std::string& endpoint) -> void;
+  auto blame(std::uint64_t fingerprint, const std::string& endpoint,
+             int points) -> void;
   /// Settlements not yet recorded.
   auto unsettled() const -> std::size_t { return unsettled_; }
 
@@ -92,7 +94,7 @@
   std::size_t vm_count_ = 1;
   std::size_t unsettled_ = 0;
   std::map<std::string, double> usage_;
-  std::map<std::int64_t, std::size_t> blames_;
+  std::map<std::int64_t, int> blames_;
   usage_source usage_source_;
   timer retry_;
 };
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -16,7 +16,6 @@
 constexpr std::size_t most_prompt_bytes = 256 * 1024;
 constexpr std::size_t usage_reported = 8;  // heaviest accounts of this VM
 constexpr auto usage_window = std::chrono::seconds(1);
-constexpr std::size_t crashes_to_condemn = 2;
 
 auto fault(const std::string& message) -> std::string {
   return json{{"error", {{"message", message}}}}.dump() + "\n";
@@ -207,7 +206,8 @@
                          request_parameters parameters) -> void {
   if (requests_.size() >= most_requests)
     return refuse(call, 503, "Too many requests are open on this VM.");
-  if (control_.blames(parameters.fingerprint) >= crashes_to_condemn &&
+  if (control_.blame_points(parameters.fingerprint) >=
+          crash_points_condemned &&
       options_.switched_off != "blame")
     return refuse(call, 422,
                   "This request has crashed endpoints and is not run again.");
--- a/src/lifecycle.cpp
+++ b/src/lifecycle.cpp
@@ -64,7 +64,7 @@
   if (guard == "needs_claim") return facts_.needs_claim;
   if (guard == "untouched") return untouched_;
   const auto again = attempt_ - refusals_ < facts_.most_attempts &&
-                     crashes_ < facts_.most_crashes;
+                     crash_points_ < crash_points_condemned;
   // A refusal that proves nothing ran costs no endpoint work, yet it still
   // counts against the budget: an outage answers with refusals too.
   if (guard == "may_retry") return again && budget_.spend();
--- a/src/load.cpp
+++ b/src/load.cpp
@@ -63,6 +63,7 @@
   bool wrong = false;
   bool maybe_ran = false;  ///< some send was not answered as not run
   int account = 0;
+  int copies_open = 0;  ///< sent through another VM, not yet told "not run"
   int sends = 0;
   std::int64_t tokens = 1;
   std::string prompt;  ///< or the Idempotency-Key of a plain call
@@ -257,7 +258,17 @@
 
   /// The same keyed call at once through another VM; only the ledger judges.
   auto resend_copy(const sent_request_ptr& request) -> void {
-    client_.send(make_call(*request_copy(request)), {});
+    ++request->copies_open;
+    auto not_run = std::make_shared<bool>(false);
+    client_.send(make_call(*request_copy(request)),
+                 {[not_run](int, const http_headers& headers) {
+                    *not_run =
+                        headers.find("Pollenloft-Outcome") == "not-run";
+                  },
+                  {},
+                  [request, not_run](const auto& /*result*/, auto) {
+                    if (*not_run) --request->copies_open;
+                  }});
   }
 
   auto request_copy(const sent_request_ptr& request)
@@ -424,8 +435,9 @@
       small += request->heavy ? 0 : 1;
       small_on_time += !request->heavy && good ? 1 : 0;
       if (request->plain && runs(*request) > 1) ++counts_doubled_;
+      // A copy that may have run makes no lie of what this send was told.
       if (request->result == verdict::not_run && !request->maybe_ran &&
-          request->plain && runs(*request) > 0)
+          request->copies_open == 0 && request->plain && runs(*request) > 0)
         ++counts_lied_;
     }
     const auto seconds =
--- a/src/net.cpp
+++ b/src/net.cpp
@@ -458,7 +458,13 @@
   ~impl() {
     *alive = false;
     for (auto& [peer, connections] : idle)
-      for (auto* connection : connections) evhttp_connection_free(connection);
+      for (auto* connection : connections) drop(connection);
+  }
+
+  /// Frees an idle connection without hearing of its close.
+  static auto drop(evhttp_connection* connection) -> void {
+    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    evhttp_connection_free(connection);
   }
 
   /// An idle connection that the peer has closed drops out by itself.
@@ -468,7 +474,7 @@
       const auto found = std::find(list.begin(), list.end(), connection);
       if (found == list.end()) continue;
       list.erase(found);
-      self->loop.post([connection] { evhttp_connection_free(connection); });
+      self->loop.post([connection] { drop(connection); });
       return;
     }
   }
--- a/support/pollenloft.thrift
+++ b/support/pollenloft.thrift
@@ -35,7 +35,9 @@
 // Turns the open claims of a VM that is gone into unknown ones.
 struct abandon_command { 1: string holder, 2: i64 at_ms }
 // One request crashed one more endpoint.
-struct blame_command { 1: i64 fingerprint, 2: string endpoint, 3: i64 at_ms }
+struct blame_command {
+  1: i64 fingerprint, 2: string endpoint, 3: i64 at_ms, 4: i32 points
+}
 
 union command {
   1: patch_command patch, 2: claim_record claim, 3: settle_command settle,
@@ -49,7 +51,7 @@
 struct version_record { 1: i64 version, 2: string id, 3: string body }
 struct patch_result { 1: string id, 2: i64 version, 3: string refusal }
 struct blame_record {
-  1: i64 fingerprint, 2: list<string> endpoints, 3: i64 at_ms
+  1: i64 fingerprint, 2: list<string> endpoints, 3: i64 at_ms, 4: i32 points
 }
 
 struct control_snapshot {
