Keep small client accounts whole while the largest swings

Every place at the endpoints was held by the largest account for seconds.

Change: VMs exchange use and waiting cost of their heaviest accounts with the lease renewals. An account above its weighted share leaves 15% of each endpoint's places to others, comes last at the engines within its priority, never blocks another account in the queue, and is held back while somebody waits below his share.

--- a/include/pollenloft/admission.hpp
+++ b/include/pollenloft/admission.hpp
@@ -46,6 +46,20 @@
   double headroom = 0.9;  ///< of the time to the deadline a wait may take
 };
 
+/// What an account gets over all VMs, in tokens a second, and has waiting.
+struct account_load {
+  std::string account;
+  double weight = 1;
+  double used = 0;
+  double waiting = 0;
+};
+
+/// The accounts above their weighted share of what all get together.
+auto accounts_over_share(const std::vector<account_load>& loads)
+    -> std::vector<account_load>;
+/// Whether an account waits below its weighted share.
+auto somebody_short(const std::vector<account_load>& loads) -> bool;
+
 /// One queue of a service:
 ///
 ///     queue.offer(request, now);
@@ -58,8 +72,10 @@
   auto offer(const queued_request& request, instant now) -> admission_answer;
   /// Puts a request that was dispatched before back in front of its account.
   auto requeue(const queued_request& request) -> void;
-  /// The request to dispatch next, left in the queue.
-  auto peek() const -> std::optional<request_id>;
+  /// The request to dispatch next, left in the queue; none of the accounts in
+  /// `skip`.
+  auto peek(const std::set<std::string>& skip = {}) const
+      -> std::optional<request_id>;
   /// Takes a request out; `dispatched` charges its account.
   auto remove(request_id id, bool dispatched) -> void;
   /// Work of this cost has finished: the queue learns its drain rate.
@@ -70,6 +86,10 @@
   auto retry_after(duration wait) -> milliseconds;
   /// Limits an account to `rate` tokens a second on this VM; 0 lifts it.
   auto limit_rate(const std::string& account, double rate, instant now) -> void;
+  /// The account's limit, or 0.
+  auto rate_limit_of(const std::string& account) const -> double;
+  /// Cost that each account has waiting.
+  auto waiting() const -> std::map<std::string, double>;
   /// Lets rate-limited accounts earn.
   auto advance(instant now) -> void;
   auto size() const -> std::size_t { return requests_.size(); }
--- a/include/pollenloft/control.hpp
+++ b/include/pollenloft/control.hpp
@@ -119,7 +119,7 @@
     instant expires{};
     std::uint64_t in_force = 0;
     bool draining = false;
-    std::map<std::string, double> usage;  ///< cost a second, heavy accounts
+    std::map<std::string, wire::account_usage> usage;  ///< heavy accounts
   };
 
   explicit lease_table(duration lease) : lease_(lease) {}
--- a/include/pollenloft/route.hpp
+++ b/include/pollenloft/route.hpp
@@ -78,7 +78,8 @@
   std::int32_t layers = 1;
   bool suspect = false;  ///< was on an endpoint that crashed
   const std::set<std::string>* avoid = nullptr;  ///< endpoint ids
-  bool use_ejected = false;                      ///< set by the router itself
+  double reserve = 0;        ///< share of each endpoint's places left to others
+  bool use_ejected = false;  ///< set by the router itself
 };
 
 class router {
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -12,6 +12,7 @@
 constexpr auto least_retry = milliseconds(50);
 constexpr auto most_retry = std::chrono::seconds(30);
 constexpr double limit_burst_seconds = 0.5;
+constexpr double share_slack = 1.1;  // measured use wavers
 
 auto seconds(duration d) -> double {
   return std::chrono::duration<double>(d).count();
@@ -19,6 +20,50 @@
 
 }  // namespace
 
+namespace {
+
+/// Tokens a second that one unit of weight may have.
+auto share_of_weight(const std::vector<account_load>& loads) -> double {
+  double capacity = 0;
+  double weights = 0;
+  for (const auto& load : loads) {
+    capacity += load.used;
+    weights += load.weight;
+  }
+  return weights <= 0 ? 0 : capacity / weights;
+}
+
+}  // namespace
+
+auto accounts_over_share(const std::vector<account_load>& loads)
+    -> std::vector<account_load> {
+  const auto share = share_of_weight(loads);
+  std::vector<account_load> over;
+  for (const auto& load : loads)
+    if (load.used > share_slack * share * load.weight) over.push_back(load);
+  return over;
+}
+
+auto somebody_short(const std::vector<account_load>& loads) -> bool {
+  const auto share = share_of_weight(loads);
+  return std::any_of(loads.begin(), loads.end(), [&](const auto& load) {
+    return load.waiting > 0 && load.used < share * load.weight;
+  });
+}
+
+auto fair_queue::rate_limit_of(const std::string& account) const -> double {
+  const auto found = limits_.find(account);
+  return found == limits_.end() ? 0 : found->second.rate;
+}
+
+auto fair_queue::waiting() const -> std::map<std::string, double> {
+  std::map<std::string, double> costs;
+  for (const auto& [priority, at] : levels_)
+    for (const auto& [account, queue] : at.accounts)
+      if (!queue.waiting.empty()) costs[account] += queue.queued_cost;
+  return costs;
+}
+
 auto fair_queue::start_tag(const level& at, const account_queue& queue) const
     -> double {
   return std::max(at.virtual_time, queue.finish);
@@ -112,11 +157,13 @@
   insert(request, true);
 }
 
-auto fair_queue::peek() const -> std::optional<request_id> {
+auto fair_queue::peek(const std::set<std::string>& skip) const
+    -> std::optional<request_id> {
   for (const auto& [priority, at] : levels_) {
     const account_queue* best = nullptr;
     for (const auto& [account, queue] : at.accounts) {
       if (queue.waiting.empty() || throttled(account)) continue;
+      if (skip.count(account) != 0) continue;
       if (best == nullptr || start_tag(at, queue) < start_tag(at, *best))
         best = &queue;
     }
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -234,7 +234,9 @@
   call.delivered = answer_;
   call.first_token = tokens_;
   call.max_tokens = given_.max_tokens;
-  call.priority = given_.priority;
+  // Within its priority an account above its share comes last at the engines.
+  call.priority =
+      2 * given_.priority + (host_.over_share(given_.account) ? 1 : 0);
   call.deadline = to_ms(given_.deadline - boottime_clock::now());
   call.stages = stages_;
   auto made = make_generate_call(call);
--- a/src/caller_request.hpp
+++ b/src/caller_request.hpp
@@ -38,6 +38,8 @@
   virtual auto switched_off() const -> const std::string& = 0;
   virtual auto vm_name() const -> const std::string& = 0;
   virtual auto vm_incarnation() const -> const std::string& = 0;
+  /// The account gets more than its share over all VMs.
+  virtual auto over_share(const std::string& account) const -> bool = 0;
   /// Queues a request, at the front if it was dispatched before.
   virtual auto enqueue(const caller_request_ptr& request, bool again)
       -> void = 0;
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -293,7 +293,7 @@
   entry.draining = request.draining;
   entry.usage.clear();
   for (const auto& usage : request.usage)
-    entry.usage[usage.account] = usage.cost;
+    entry.usage[usage.account] = usage;
 }
 
 auto lease_table::in_force_everywhere(std::uint64_t version, instant now) const
@@ -333,20 +333,22 @@
 
 auto lease_table::heaviest(std::size_t most, instant now) const
     -> std::vector<wire::account_usage> {
-  std::map<std::string, double> sums;
-  for (const auto& [vm, entry] : holders_)
-    if (now < entry.expires)
-      for (const auto& [account, cost] : entry.usage)
-        sums[account] += cost;
-  std::vector<wire::account_usage> result;
-  for (const auto& [account, cost] : sums) {
-    wire::account_usage usage;
-    usage.account = account;
-    usage.cost = cost;
-    result.push_back(std::move(usage));
+  std::map<std::string, wire::account_usage> sums;
+  for (const auto& [vm, entry] : holders_) {
+    if (now >= entry.expires) continue;
+    for (const auto& [account, usage] : entry.usage) {
+      auto& sum = sums[account];
+      sum.account = account;
+      sum.cost += usage.cost;
+      sum.waiting += usage.waiting;
+    }
   }
-  std::sort(result.begin(), result.end(),
-            [](const auto& a, const auto& b) { return a.cost > b.cost; });
+  std::vector<wire::account_usage> result;
+  for (auto& [account, sum] : sums)
+    result.push_back(std::move(sum));
+  std::sort(result.begin(), result.end(), [](const auto& a, const auto& b) {
+    return a.cost + a.waiting > b.cost + b.waiting;
+  });
   if (result.size() > most) result.resize(most);
   return result;
 }
--- a/src/control_client.cpp
+++ b/src/control_client.cpp
@@ -89,7 +89,7 @@
   directory_sequence_ = reply->directory_sequence;
   usage_.clear();
   for (const auto& usage : reply->usage)
-    usage_[usage.account] = usage.cost;
+    usage_[usage.account] = usage;
   blames_.clear();
   for (const auto& blame : reply->blames)
     blames_[blame.fingerprint] = blame.points;
--- a/src/control_client.hpp
+++ b/src/control_client.hpp
@@ -38,7 +38,8 @@
   auto term() const -> std::int64_t { return term_; }
   auto vm_count() const -> std::size_t { return vm_count_; }
   /// Usage of the heaviest client accounts over all VMs.
-  auto cluster_usage() const -> const std::map<std::string, double>& {
+  auto cluster_usage() const
+      -> const std::map<std::string, wire::account_usage>& {
     return usage_;
   }
   /// How strongly a request with this fingerprint is suspected of crashing
@@ -93,7 +94,7 @@
   std::int64_t directory_sequence_ = 0;
   std::size_t vm_count_ = 1;
   std::size_t unsettled_ = 0;
-  std::map<std::string, double> usage_;
+  std::map<std::string, wire::account_usage> usage_;
   std::map<std::int64_t, int> blames_;
   usage_source usage_source_;
   timer retry_;
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -15,7 +15,13 @@
 constexpr std::size_t most_key_bytes = 200;
 constexpr std::size_t most_prompt_bytes = 256 * 1024;
 constexpr std::size_t usage_reported = 8;  // heaviest accounts of this VM
-constexpr auto usage_window = std::chrono::seconds(1);
+constexpr double usage_period = 0.2;       // seconds over which use is counted
+constexpr double usage_gain = 0.4;         // weight of the newest period
+constexpr auto share_period = milliseconds(100);
+constexpr double share_cut = 0.9;  // of the rate of an account over share
+constexpr double share_growth = 1.05;
+constexpr double least_rate = 50;               // tokens a second
+constexpr double small_account_reserve = 0.15;  // of an endpoint's places
 
 auto fault(const std::string& message) -> std::string {
   return json{{"error", {{"message", message}}}}.dump() + "\n";
@@ -312,7 +318,6 @@
   }
   const auto answer = queue.offer(item, boottime_clock::now());
   if (const auto* no = std::get_if<refused>(&answer)) {
-    contended_until_ = boottime_clock::now() + usage_window;
     return request->refuse(no->reason, no->retry_after);
   }
   if (const auto evicted = std::get<admitted>(answer).evicted)
@@ -362,17 +367,21 @@
 }
 
 auto entry_server::pump_queue(fair_queue& queue, instant now) -> void {
-  while (const auto id = queue.peek()) {
+  std::set<std::string> blocked;
+  while (const auto id = queue.peek(blocked)) {
     const auto request = requests_.at(*id);
+    const auto& account = request->parameters().account;
     auto wanted = request->chain_wanted();
+    if (over_share(account)) wanted.reserve = small_account_reserve;
     auto stages = router_.choose(wanted, now);
     // Endpoints that failed this request are better than none.
     wanted.avoid = nullptr;
     if (!stages) stages = router_.choose(wanted, now);
-    if (!stages) {
-      contended_until_ = now + usage_window;
-      return;
+    if (!stages && wanted.reserve > 0) {
+      blocked.insert(account);  // what is reserved may suit another account
+      continue;
     }
+    if (!stages) return;
     queue.remove(*id, true);
     request->dispatch(std::move(*stages));
   }
@@ -399,28 +408,70 @@
   pump();
 }
 
-/// Tokens a second of the heaviest accounts since the last report.
+/// Use of the heaviest accounts on this VM: tokens a second, smoothed, and the
+/// cost that waits.
 auto entry_server::recent_usage() -> std::vector<wire::account_usage> {
   const auto now = boottime_clock::now();
   const auto elapsed = std::chrono::duration<double>(now - usage_from_).count();
-  std::vector<wire::account_usage> rows;
-  for (const auto& [account, tokens] : used_) {
-    wire::account_usage row;
-    row.account = account;
-    row.cost = tokens / std::max(elapsed, 0.001);
-    rows.push_back(std::move(row));
-  }
-  std::sort(rows.begin(), rows.end(),
-            [](const auto& a, const auto& b) { return a.cost > b.cost; });
-  if (rows.size() > usage_reported) rows.resize(usage_reported);
-  if (elapsed > std::chrono::duration<double>(usage_window).count()) {
+  if (elapsed > usage_period) {
+    for (auto& [account, rate] : usage_rate_)
+      rate *= 1 - usage_gain;
+    for (const auto& [account, tokens] : used_)
+      usage_rate_[account] += usage_gain * tokens / elapsed;
     used_.clear();
     usage_from_ = now;
   }
-  return rows;
+  std::map<std::string, wire::account_usage> rows;
+  for (const auto& [account, rate] : usage_rate_)
+    rows[account].cost = rate;
+  for (const auto& [service, queue] : queues_)
+    for (const auto& [account, cost] : queue.waiting())
+      rows[account].waiting += cost;
+  std::vector<wire::account_usage> heaviest;
+  for (auto& [account, row] : rows) {
+    row.account = account;
+    heaviest.push_back(std::move(row));
+  }
+  std::sort(heaviest.begin(), heaviest.end(), [](const auto& a, const auto& b) {
+    return a.cost + a.waiting > b.cost + b.waiting;
+  });
+  if (heaviest.size() > usage_reported) heaviest.resize(usage_reported);
+  return heaviest;
 }
 
-auto entry_server::share_heavy_accounts(instant /*now*/) -> void {}
+/// Holds this VM's part of the accounts that are above their share, while
+/// another account waits below its own on any VM; lets go slowly afterwards.
+auto entry_server::share_heavy_accounts(instant now) -> void {
+  if (now - shared_at_ < share_period) return;
+  shared_at_ = now;
+  std::vector<account_load> loads;
+  for (const auto& [name, usage] : control_.cluster_usage()) {
+    const auto* account = control_.config().accounts.find(name);
+    if (account == nullptr) continue;
+    loads.push_back({name, (*account)->weight, usage.cost, usage.waiting});
+  }
+  auto over = accounts_over_share(loads);
+  over_share_.clear();
+  for (const auto& load : over)
+    over_share_.insert(load.account);
+  if (!somebody_short(loads)) over.clear();
+  for (auto& [service, queue] : queues_) {
+    std::set<std::string> held;
+    for (const auto& load : over) {
+      held.insert(load.account);
+      const auto limit = queue.rate_limit_of(load.account);
+      const auto used = usage_rate_[load.account];
+      const auto next = (limit > 0 ? std::min(limit, used) : used) * share_cut;
+      queue.limit_rate(load.account, std::max(next, least_rate), now);
+    }
+    for (const auto& load : loads) {
+      if (held.count(load.account) != 0) continue;
+      const auto limit = queue.rate_limit_of(load.account) * share_growth;
+      const auto idle = limit > 4 * usage_rate_[load.account] + least_rate;
+      queue.limit_rate(load.account, idle ? 0 : limit, now);
+    }
+  }
+}
 
 // --- shutdown --------------------------------------------------------------
 
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -48,6 +48,9 @@
   auto vm_incarnation() const -> const std::string& override {
     return incarnation_;
   }
+  auto over_share(const std::string& account) const -> bool override {
+    return over_share_.count(account) != 0;
+  }
   auto enqueue(const caller_request_ptr& request, bool again) -> void override;
   auto dequeue(const caller_request_ptr& request) -> void override;
   auto place_freed(const caller_request_ptr& request, double cost)
@@ -110,9 +113,11 @@
   std::unordered_map<request_id, caller_request_ptr> requests_;
   std::map<std::string, wire::endpoint_record> directory_;
   std::map<std::string, instant> unconfirmed_;
-  std::map<std::string, double> used_;  // tokens by account since usage_from_
+  std::map<std::string, double> used_;  // tokens since usage_from_
   instant usage_from_{};
-  instant contended_until_{};
+  std::map<std::string, double> usage_rate_;  // tokens a second
+  instant shared_at_{};
+  std::set<std::string> over_share_;
 };
 
 }  // namespace pollenloft
--- a/src/route.cpp
+++ b/src/route.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t partial_chains = 4;  // kept for each layer boundary
 constexpr int failures_to_eject = 3;
 constexpr auto most_eject_time = std::chrono::seconds(30);
-constexpr double window_cut = 0.7;
+constexpr double window_cut = 0.5;  // places
 // An endpoint that had no place is left alone for this long, and up to as
 // long again by chance, so that the VMs do not return together.
 constexpr auto busy_pause = milliseconds(5);
@@ -100,7 +100,9 @@
 
   auto usable(const endpoint_entry& entry, const chain_request& request,
               instant now) const -> bool {
-    if (entry.outstanding >= std::floor(entry.window)) return false;
+    const auto places = std::floor(entry.window);
+    const auto kept = places > 1 ? std::ceil(places * request.reserve) : 0;
+    if (entry.outstanding + kept >= places) return false;
     if (now < entry.ejected_until && !request.use_ejected) return false;
     if (now < entry.busy_until) return false;
     // Suspects do not share an endpoint: a crash then tells which is at fault.
@@ -109,19 +111,30 @@
            request.avoid->count(entry.view->id) == 0;
   }
 
+  auto load(const endpoint_entry& entry, instant now) const -> double {
+    return entry.outstanding + others(entry, now) + 1;
+  }
+
   auto cost(const endpoint_entry& entry, std::int32_t layers, instant now) const
       -> double {
-    return std::visit(
-        overloaded{[&](const policy_predicted&) {
-                     const auto load =
-                         entry.outstanding + others(entry, now) + 1;
-                     return load * seconds(layer_time(entry)) * layers;
-                   },
-                   [&](const policy_least_outstanding&) {
-                     return entry.outstanding + 1;
-                   },
-                   [](const policy_round_robin&) { return 0.0; }},
-        options.policy);
+    return std::visit(overloaded{[&](const policy_predicted&) {
+                                   return load(entry, now) *
+                                          seconds(layer_time(entry)) * layers;
+                                 },
+                                 [&](const policy_least_outstanding&) {
+                                   return entry.outstanding + 1;
+                                 },
+                                 [](const policy_round_robin&) { return 0.0; }},
+                      options.policy);
+  }
+
+  /// A sequence holds its place on every stage for as long as the whole chain
+  /// takes, so a fast endpoint in a slow chain stands idle between tokens.
+  auto mismatch_cost(const endpoint_entry& from, const endpoint_entry& to,
+                     std::int32_t layers, instant now) const -> double {
+    if (!std::holds_alternative<policy_predicted>(options.policy)) return 0;
+    const auto apart = std::abs(seconds(layer_time(from) - layer_time(to)));
+    return load(to, now) * apart * layers;
   }
 
   auto link_cost(const endpoint_view& from, const endpoint_view& to) const
@@ -151,8 +164,12 @@
               instant now) const -> partial_chain {
     auto longer = head;
     longer.cost += cost(*entry, layers.second - layers.first, now);
-    if (!head.stages.empty())
-      longer.cost += link_cost(*head.stages.back().first->view, *entry->view);
+    if (!head.stages.empty()) {
+      const auto& last = *head.stages.back().first;
+      longer.cost +=
+          link_cost(*last.view, *entry->view) +
+          mismatch_cost(last, *entry, layers.second - layers.first, now);
+    }
     longer.stages.emplace_back(entry, layers);
     return longer;
   }
@@ -234,13 +251,16 @@
         entry.failures = 0;
         entry.eject_for = {};
         // The window grows only while it is what limits this VM.
-        if (entry.outstanding + 1 >= std::floor(entry.window))
+        if (entry.outstanding + 2 >= std::floor(entry.window))
           entry.window = std::min(static_cast<double>(entry.view->slots),
                                   entry.window + 1 / entry.window);
         break;
       case dispatch_result::refused:
         if (!at_fault) break;
-        entry.window = std::max(1.0, entry.window * window_cut);
+        // The endpoint is full with what it has: the window falls to that, so
+        // that the VMs' windows together stay close to the endpoint's places.
+        entry.window = std::max(
+            1.0, std::min(entry.window - window_cut, entry.outstanding));
         entry.busy_until = now + busy_time();
         break;
       case dispatch_result::failed:
--- a/src/standin_engine.cpp
+++ b/src/standin_engine.cpp
@@ -45,7 +45,8 @@
 engine::engine(engine_world& world, const plain_spec& spec,
                socket_address address)
     : world_(world),
-      spec_{spec.id, spec.pipeline, "cpu", spec.zone, 0, 1, spec.slots, true},
+      spec_{spec.id, spec.pipeline, "cpu",      spec.zone, 0,
+            1,       spec.slots,    spec.slots, true},
       plain_(true),
       latency_(spec.latency),
       address_(std::move(address)) {}
@@ -298,7 +299,7 @@
   duration time{};
   const auto& kind = world_.layout.kinds.at(spec_.kind);
   while (!queue_.empty() &&
-         batch.size() < static_cast<std::size_t>(spec_.slots)) {
+         batch.size() < static_cast<std::size_t>(spec_.batch)) {
     auto next = std::move(queue_.front());
     queue_.pop_front();
     if (next.work->over) continue;
@@ -403,7 +404,9 @@
     const auto link = next.spec_.zone == runner.spec_.zone
                           ? world_.layout.zone_link
                           : world_.layout.cross_link;
-    const auto batch = std::max<std::size_t>(1, runner.active_.size());
+    const auto batch =
+        std::clamp<std::size_t>(runner.active_.size() / work.stages.size(), 1,
+                                static_cast<std::size_t>(runner.spec_.batch));
     rows.push_back({{"endpoint", runner.spec_.id},
                     {"running", runner.active_.size()},
                     {"layer_us", to_us(runner.layer_time(batch)) *
--- a/src/standin_model.cpp
+++ b/src/standin_model.cpp
@@ -16,29 +16,39 @@
   return (n < 10 ? "0" : "") + std::to_string(n);
 }
 
-/// 40 runners in five replicas of four stages on each of two speeds, ranges
-/// sized to what the kinds sustain.
+/// How the runners of one kind are laid out.
+struct kind_layout {
+  std::string kind;
+  std::size_t chains;
+  std::size_t stages;  ///< of each chain
+  std::int32_t batch;
+};
+
+/// 4 fast chains of 2, 4 medium ones of 4 and 2 slow ones of 8 make 40
+/// runners, ranges sized to what the kinds sustain. A runner holds a quarter
+/// more sequences than keep all stages of its chain busy.
 auto add_runners(fleet& to, const std::string& prefix) -> void {
-  const std::array<std::string, 3> kinds{"fast", "medium", "slow"};
-  // Replicas by kind: 4 fast chains of 2, 4 medium chains of 4 and 2 slow
-  // chains of 8 make 8 + 16 + 16 runners.
-  const std::array<std::size_t, 3> chains{4, 4, 2};
-  const std::array<std::size_t, 3> stages{2, 4, 8};
+  const std::array<kind_layout, 3> layouts{
+      {{"fast", 4, 2, 16}, {"medium", 4, 4, 16}, {"slow", 2, 8, 8}}};
   std::size_t number = 0;
-  for (std::size_t k = 0; k < kinds.size(); ++k)
-    for (std::size_t c = 0; c < chains[k]; ++c)
-      for (std::size_t s = 0; s < stages[k]; ++s) {
-        const auto width = to.layers / static_cast<std::int32_t>(stages[k]);
-        runner_spec spec;
-        spec.id = prefix + two_digits(++number);
-        spec.pipeline = to.model_service;
-        spec.kind = kinds[k];
-        spec.zone = to.zones[(c + k) % to.zones.size()];
-        spec.first_layer = static_cast<std::int32_t>(s) * width;
-        spec.last_layer = spec.first_layer + width;
-        spec.fencing = number % 3 != 0;
-        to.runners.push_back(spec);
-      }
+  for (std::size_t k = 0; k < layouts.size(); ++k) {
+    const auto& layout = layouts.at(k);
+    const auto width = to.layers / static_cast<std::int32_t>(layout.stages);
+    for (std::size_t i = 0; i < layout.chains * layout.stages; ++i) {
+      runner_spec spec;
+      spec.id = prefix + two_digits(++number);
+      spec.pipeline = to.model_service;
+      spec.kind = layout.kind;
+      spec.zone = to.zones[(i / layout.stages + k) % to.zones.size()];
+      spec.first_layer = static_cast<std::int32_t>(i % layout.stages) * width;
+      spec.last_layer = spec.first_layer + width;
+      spec.batch = layout.batch;
+      spec.slots =
+          layout.batch * static_cast<std::int32_t>(layout.stages) * 5 / 4;
+      spec.fencing = number % 3 != 0;
+      to.runners.push_back(spec);
+    }
+  }
 }
 
 auto make(const std::string& model, const std::string& plain,
@@ -48,9 +58,9 @@
   made.plain_service = plain;
   made.zones = std::move(zones);
   made.kinds = {
-      {"fast", {microseconds(20), microseconds(6), microseconds(1)}},
-      {"medium", {microseconds(50), microseconds(14), microseconds(2)}},
-      {"slow", {microseconds(100), microseconds(30), microseconds(4)}}};
+      {"fast", {microseconds(100), microseconds(30), microseconds(5)}},
+      {"medium", {microseconds(250), microseconds(70), microseconds(10)}},
+      {"slow", {microseconds(500), microseconds(150), microseconds(20)}}};
   add_runners(made, "runner-");
   for (std::size_t i = 0; i < 3; ++i)
     made.plains.push_back({plain + "-" + std::to_string(i + 1), plain,
@@ -91,10 +101,10 @@
     for (const auto& runner : of.runners) {
       if (runner.first_layer > layer || runner.last_layer <= layer) continue;
       const auto& kind = of.kinds.at(runner.kind);
-      const auto layer_time = kind.step + runner.slots * kind.item;
+      const auto layer_time = kind.step + runner.batch * kind.item;
       const auto step_time =
           layer_time * (runner.last_layer - runner.first_layer);
-      sum += runner.slots / std::chrono::duration<double>(step_time).count();
+      sum += runner.batch / std::chrono::duration<double>(step_time).count();
     }
     least = std::min(least, sum);
   }
--- a/src/standin_model.hpp
+++ b/src/standin_model.hpp
@@ -30,7 +30,8 @@
   std::string zone;
   std::int32_t first_layer = 0;
   std::int32_t last_layer = 1;
-  std::int32_t slots = 16;
+  std::int32_t batch = 16;  ///< sequences in one step
+  std::int32_t slots = 40;  ///< sequences held at once
   bool fencing = true;
 };
 
--- a/support/pollenloft.thrift
+++ b/support/pollenloft.thrift
@@ -67,7 +67,8 @@
   13: bool fencing, 14: i32 token_us
 }
 
-struct account_usage { 1: string account, 2: double cost }
+// Tokens a second that an account got, and the cost it has waiting.
+struct account_usage { 1: string account, 2: double cost, 3: double waiting }
 
 struct renew_request {
   1: string vm, 2: string incarnation, 3: i64 in_force, 4: i64 term,
