--- a/include/pollenloft/control.hpp
+++ b/include/pollenloft/control.hpp
@@ -28,7 +28,7 @@
   settled,     ///< its outcome is recorded
   mismatch,    ///< the key was used for another request
   not_leader,  ///< ask the named leader
-  refused      ///< too many claims; nothing was recorded
+  refused      ///< too many open claims; nothing was recorded
 };
 
 /// A patch became this version.
@@ -51,7 +51,7 @@
   std::size_t version_tail = 512;     ///< patches kept for catching up
   std::size_t patch_results = 10000;  ///< answers kept for resent patches
   std::size_t audit_records = 10000;
-  std::size_t claims = 200000;
+  std::size_t claims = 200000;  ///< then the oldest settled ones are forgotten
   milliseconds claim_retention{std::chrono::hours(24)};
   milliseconds blame_retention{std::chrono::hours(1)};
   std::size_t claim_body_bytes = 16 * 1024;  ///< of a recorded answer
@@ -92,6 +92,7 @@
   auto apply_abandon(const wire::abandon_command& abandon) -> void;
   auto apply_blame(const wire::blame_command& blame) -> void;
   auto expire(milliseconds now) -> void;
+  auto forget_oldest_settled() -> bool;
   auto remember(const wire::patch_command& patch, const patch_verdict& verdict)
       -> void;
 
--- a/src/cli.cpp
+++ b/src/cli.cpp
@@ -63,7 +63,7 @@
     while (boottime_clock::now() < until_) {
       auto got = call_once(method, target, body);
       if (got && got->status != 421) return got;
-      follow(got ? got->body.value("leader", "") : "");
+      if (follow(got ? got->body.value("leader", "") : "")) continue;
       auto pause = loop_.after(retry_pause, [this] { loop_.stop(); });
       loop_.run();
     }
@@ -92,13 +92,16 @@
     return got;
   }
 
-  auto follow(const std::string& leader) -> void {
+  /// True if the named leader is another replica than the one just asked.
+  auto follow(const std::string& leader) -> bool {
     for (std::size_t i = 0; i < replicas_.size(); ++i)
       if (replicas_[i].text() == leader) {
+        const auto moved = target_ != i;
         target_ = i;
-        return;
+        return moved;
       }
     target_ = (target_ + 1) % replicas_.size();
+    return false;
   }
 
   event_loop loop_;
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -126,7 +126,7 @@
   const auto id = claim_id(claim.account, claim.key);
   const auto found = claims_.find(id);
   if (found == claims_.end()) {
-    if (claims_.size() >= limits_.claims) {
+    if (claims_.size() >= limits_.claims && !forget_oldest_settled()) {
       reply.answer = static_cast<std::int8_t>(claim_answer::refused);
       return reply;
     }
@@ -151,6 +151,24 @@
   return reply;
 }
 
+/// Open claims stay, whatever their age; they are few.
+auto control_state::forget_oldest_settled() -> bool {
+  for (auto it = claim_order_.begin(); it != claim_order_.end();) {
+    const auto found = claims_.find(it->second);
+    if (found == claims_.end() || found->second.at_ms != it->first) {
+      it = claim_order_.erase(it);
+      continue;
+    }
+    if (found->second.state != static_cast<std::int8_t>(claim_state::open)) {
+      claims_.erase(found);
+      claim_order_.erase(it);
+      return true;
+    }
+    ++it;
+  }
+  return false;
+}
+
 auto control_state::apply_settle(const wire::settle_command& settle) -> void {
   expire(milliseconds(settle.at_ms));
   const auto id = claim_id(settle.account, settle.key);
--- a/test/control_test.cpp
+++ b/test/control_test.cpp
@@ -102,6 +102,7 @@
   CPPUNIT_TEST(abandoned_claim_is_unknown_until_its_outcome_comes);
   CPPUNIT_TEST(key_of_another_request_is_refused);
   CPPUNIT_TEST(old_claims_expire);
+  CPPUNIT_TEST(full_table_forgets_the_oldest_settled_claim);
   CPPUNIT_TEST(blame_counts_each_endpoint_once);
   CPPUNIT_TEST(version_waits_for_every_live_lease);
   CPPUNIT_TEST(new_leader_waits_out_unknown_leases);
@@ -235,6 +236,21 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, state.claim_count());
   }
 
+  auto full_table_forgets_the_oldest_settled_claim() -> void {
+    control_limits limits;
+    limits.claims = 2;
+    control_state state(limits);
+    state.apply(claim("open", "vm#1", "d"));
+    state.apply(claim("done", "vm#1", "e"));
+    CPPUNIT_ASSERT(claim_answer::refused ==
+                   answer(state, claim("new", "vm#1", "f")));
+    state.apply(settle("done", "e", claim_state::completed));
+    CPPUNIT_ASSERT(claim_answer::granted ==
+                   answer(state, claim("new", "vm#1", "f")));
+    CPPUNIT_ASSERT(state.find_claim("a", "open") != nullptr);
+    CPPUNIT_ASSERT(state.find_claim("a", "done") == nullptr);
+  }
+
   auto blame_counts_each_endpoint_once() -> void {
     control_state state;
     wire::command command;
