Eject what stands still; give plain and long prompts their time

Cause, by reading: a frozen runner met only heartbeats (2 s), since a stall told the router nothing; an idempotent plain call was cut off after 1.5 s; the bound on connections was a setting that nothing read.

Change: a stall counts as a failure for every stage of the chain, and the healthy ones' successes clear it; a plain call has a third of its deadline before it is tried elsewhere, a long prompt 20 us more a byte.

After: route_test ejects the frozen one of eight after three stalls.

--- a/include/pollenloft/net.hpp
+++ b/include/pollenloft/net.hpp
@@ -118,7 +118,6 @@
   std::size_t header_bytes = 16 * 1024;
   std::size_t header_count = 64;
   std::size_t body_bytes = 1024 * 1024;
-  std::size_t connections = 4096;
   std::chrono::seconds idle{60};
 };
 
--- a/include/pollenloft/route.hpp
+++ b/include/pollenloft/route.hpp
@@ -51,6 +51,7 @@
   served,
   refused,   ///< no place; nothing ran
   failed,    ///< broke off; ejected after several in a row
+  stalled,   ///< stood still on some stage, unknown which; counts for all
   down,      ///< crashed, unreachable or leaving; ejected at once
   abandoned  ///< given up by this side
 };
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -17,6 +17,8 @@
 constexpr auto least_stall = milliseconds(400);
 constexpr auto most_stall = std::chrono::seconds(2);
 constexpr auto first_token_patience = milliseconds(1500);
+constexpr auto patience_per_prompt_byte = std::chrono::microseconds(20);
+constexpr int plain_stall_divisor = 3;  // of the whole time to the deadline
 constexpr double tokens_per_prompt_byte = 0.25;
 // Requests that were on a crashed endpoint come back spread over this time, so
 // that the one at fault is alone when it takes down the next.
@@ -99,7 +101,9 @@
       return;  // done by `dispatch`, which took the slot
     case request_action::cancel:
       if (conversation_) conversation_->cancel();
-      return free_places(dispatch_result::abandoned, "");
+      return free_places(
+          stood_still_ ? dispatch_result::stalled : dispatch_result::abandoned,
+          "");
     case request_action::end_completed:
       return end(outcome::completed);
     case request_action::end_not_run:
@@ -148,7 +152,7 @@
       return step(request_event::claim_settled);
     case claim_answer::mismatch:
       reason_ = "the Idempotency-Key was used for another request";
-      plain_status_ = 422;
+      failure_status_ = 422;
       return step(request_event::claim_refused);
     default:
       reason_ = "too many requests are being claimed";
@@ -446,23 +450,30 @@
   host_.place_freed(shared_from_this(), done);
 }
 
+auto caller_request::stall_patience() const -> duration {
+  if (std::holds_alternative<plain_service>(given_.target->kind))
+    return (given_.deadline - given_.arrived) / plain_stall_divisor;
+  const auto waits_for_first = life_.state() == "dispatched";
+  if (waits_for_first)
+    return first_token_patience +
+           patience_per_prompt_byte *
+               static_cast<std::int64_t>(given_.prompt.size());
+  return std::clamp<duration>(stall_factor * host_.routes().token_time(stages_),
+                              least_stall, most_stall);
+}
+
 auto caller_request::arm_stall_timer() -> void {
-  const auto predicted = host_.routes().token_time(stages_);
-  auto patience =
-      std::clamp<duration>(stall_factor * predicted, least_stall, most_stall);
-  if (last_token_ == instant{} || life_.state() == "dispatched")
-    patience = std::max<duration>(patience, first_token_patience);
-  stall_ = host_.loop().after(patience, [self = weak_from_this()] {
+  stall_ = host_.loop().after(stall_patience(), [self = weak_from_this()] {
     if (auto held = self.lock()) held->stalled();
   });
 }
 
 auto caller_request::stalled() -> void {
-  // Without a report of which stage stands still, all of them are avoided.
-  const auto before = life_.attempt();
   const auto stages = stages_;
+  stood_still_ = true;
   step(request_event::stalled);
-  if (placed_ || ended() || before != life_.attempt()) return;
+  stood_still_ = false;
+  if (placed_) return;  // it may not run again, so this dispatch goes on
   host_.numbers().add("pollenloft_stalls_total");
   for (const auto& stage : stages)
     avoid_.insert(stage.endpoint->id);
@@ -555,9 +566,8 @@
     headers.add("Pollenloft-Retry-After-Ms",
                 std::to_string(retry_after_.count()));
   }
-  auto status = result == outcome::not_run ? 503 : 502;
-  if (plain_status_ == 422) status = 422;
-  call_->reply(status, headers, body.dump() + "\n");
+  const auto usual = result == outcome::not_run ? 503 : 502;
+  call_->reply(failure_status_.value_or(usual), headers, body.dump() + "\n");
 }
 
 }  // namespace pollenloft
--- a/src/caller_request.hpp
+++ b/src/caller_request.hpp
@@ -110,6 +110,7 @@
                       const error& cause) -> void;
   /// Frees the chain's places once.
   auto free_places(dispatch_result result, const std::string& at_fault) -> void;
+  auto stall_patience() const -> duration;
   auto arm_stall_timer() -> void;
   auto stalled() -> void;
 
@@ -142,6 +143,8 @@
   std::string reason_ = "no endpoint could take the request";
   milliseconds retry_after_{1000};
   int plain_status_ = 200;
+  std::optional<int> failure_status_;  ///< other than 503 or 502
+  bool stood_still_ = false;
   std::string plain_type_;
   std::optional<wire::claim_record> settled_;
 };
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -262,8 +262,11 @@
       unconfirmed_.emplace(id, now);
   for (const auto& record : records) {
     unconfirmed_.erase(record.id);
-    directory_[record.id] = record;
     apply_record(record);
+    if (record.state == static_cast<std::int8_t>(endpoint_state::gone))
+      directory_.erase(record.id);
+    else
+      directory_[record.id] = record;
   }
   schedule_pump();
 }
--- a/src/route.cpp
+++ b/src/route.cpp
@@ -268,6 +268,10 @@
             may_eject(entry, now))
           eject(entry, now);
         break;
+      case dispatch_result::stalled:
+        if (++entry.failures >= failures_to_eject && may_eject(entry, now))
+          eject(entry, now);
+        break;
       case dispatch_result::down:
         if (at_fault) eject(entry, now);
         break;
--- a/test/route_test.cpp
+++ b/test/route_test.cpp
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(crashed_endpoint_is_ejected_at_once);
   CPPUNIT_TEST(failures_eject_only_a_part);
   CPPUNIT_TEST(ejected_endpoint_is_used_where_no_other_holds_a_layer);
+  CPPUNIT_TEST(endpoint_that_stalls_each_chain_is_ejected);
   CPPUNIT_TEST(suspects_do_not_share_an_endpoint);
   CPPUNIT_TEST(removed_endpoint_gets_no_work);
   CPPUNIT_TEST(late_end_of_an_earlier_incarnation_is_ignored);
@@ -180,6 +181,29 @@
     CPPUNIT_ASSERT(routes.choose(wanted(), now_).has_value());
   }
 
+  /// Which stage stands still is not known; the others have successes.
+  auto endpoint_that_stalls_each_chain_is_ejected() -> void {
+    router routes({}, 1);
+    for (int i = 0; i < 4; ++i) {
+      routes.upsert(runner("head-" + std::to_string(i), 0, 16));
+      routes.upsert(runner("tail-" + std::to_string(i), 16, 32));
+    }
+    const auto frozen = [](const chain& stages) {
+      return stages[0].endpoint->id == "head-0";
+    };
+    int stalls = 0;
+    for (int i = 0; i < 200; ++i) {
+      const auto stages = *routes.choose(wanted(), now_);
+      routes.started(stages, false);
+      stalls += frozen(stages) ? 1 : 0;
+      routes.ended(
+          stages, false,
+          frozen(stages) ? dispatch_result::stalled : dispatch_result::served,
+          "", now_);
+    }
+    CPPUNIT_ASSERT_EQUAL(3, stalls);
+  }
+
   auto suspects_do_not_share_an_endpoint() -> void {
     router routes({}, 1);
     routes.upsert(runner("a", 0, 32));
@@ -234,7 +258,7 @@
           case 2:
             if (running.empty()) break;
             routes.ended(running.back(), false,
-                         static_cast<dispatch_result>(code / 3000 % 5), id,
+                         static_cast<dispatch_result>(code / 3000 % 6), id,
                          now);
             running.pop_back();
             break;
