--- a/include/pollenloft/control.hpp
+++ b/include/pollenloft/control.hpp
@@ -72,6 +72,10 @@
   /// the whole configuration must be sent.
   auto patches_after(std::uint64_t version) const
       -> std::optional<std::vector<wire::version_record>>;
+  /// The latest patches, oldest first.
+  auto kept_patches() const -> const std::deque<wire::version_record>& {
+    return tail_;
+  }
   auto audit() const -> const std::deque<wire::audit_record>& { return audit_; }
   auto claim_count() const -> std::size_t { return claims_.size(); }
   auto find_claim(const std::string& account, const std::string& key) const
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -106,4 +106,5 @@
   pids=()
   if [[ -n $work && -z ${POLLENLOFT_KEEP:-} ]]; then rm -rf "$work"; fi
 }
-trap stop_all EXIT INT TERM
+trap stop_all EXIT
+trap 'exit 143' INT TERM
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -6,6 +6,7 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 
+#include "operator_views.hpp"
 #include "pollenloft/control.hpp"
 #include "pollenloft/journal.hpp"
 #include "pollenloft/net.hpp"
@@ -319,10 +320,13 @@
     if (path == "/v1/status") return show_status(call);
     if (post && path == "/v1/config/patches") return take_patch(call);
     if (post && path == "/v1/members") return take_members(call);
-    if (path == "/v1/config") return show_config(call);
-    if (path == "/v1/config/history") return show_history(call);
-    if (path == "/v1/audit") return show_audit(call);
-    if (path == "/v1/endpoints") return show_endpoints(call);
+    if (path == "/v1/config")
+      return json_reply(call, 200, json::parse(state_.config().text()));
+    if (path == "/v1/config/history")
+      return json_reply(call, 200, history_view(state_));
+    if (path == "/v1/audit") return json_reply(call, 200, audit_view(state_));
+    if (path == "/v1/endpoints")
+      return json_reply(call, 200, endpoints_view(directory_));
     json_reply(call, 404, {{"error", "no such resource: " + path}});
   }
 
@@ -567,65 +571,7 @@
 
   // --- views -------------------------------------------------------------
 
-  auto show_config(const exchange_ptr& call) -> void {
-    json_reply(call, 200, json::parse(state_.config().text()));
-  }
-
-  auto show_history(const exchange_ptr& call) -> void {
-    auto rows = json::array();
-    const auto newest = state_.config().version;
-    for (auto from = newest > 100 ? newest - 100 : 0;; ++from) {
-      const auto patches = state_.patches_after(from);
-      if (!patches && from < newest) continue;
-      if (patches)
-        for (const auto& patch : *patches)
-          rows.push_back({{"version", patch.version},
-                          {"id", patch.id},
-                          {"patch", json::parse(patch.body)}});
-      break;
-    }
-    json_reply(call, 200, rows);
-  }
-
-  auto show_audit(const exchange_ptr& call) -> void {
-    auto rows = json::array();
-    for (const auto& record : state_.audit())
-      rows.push_back({{"at_ms", record.at_ms},
-                      {"who", record.who},
-                      {"what", record.what},
-                      {"base", record.base},
-                      {"version", record.version},
-                      {"result", record.result}});
-    json_reply(call, 200, rows);
-  }
-
-  auto show_endpoints(const exchange_ptr& call) -> void {
-    constexpr std::array<const char*, 3> states{"up", "leaving", "gone"};
-    auto rows = json::array();
-    for (const auto& [id, record] : directory_.records())
-      rows.push_back(
-          {{"id", id},
-           {"service", record.pipeline},
-           {"kind", record.kind},
-           {"zone", record.zone},
-           {"address", record.address},
-           {"layers", {record.first_layer, record.last_layer}},
-           {"owner", record.owner},
-           {"state", states.at(static_cast<std::size_t>(record.state))}});
-    json_reply(call, 200, rows);
-  }
-
   auto show_status(const exchange_ptr& call) -> void {
-    const auto now = boottime_clock::now();
-    auto vms = json::object();
-    for (const auto& [vm, holder] : leases_.holders())
-      vms[vm] = {{"version", holder.in_force},
-                 {"zone", holder.zone},
-                 {"address", holder.address},
-                 {"draining", holder.draining},
-                 {"lease_ms",
-                  std::chrono::duration_cast<milliseconds>(holder.expires - now)
-                      .count()}};
     json_reply(call, 200,
                {{"id", id_},
                 {"role", role_name()},
@@ -637,7 +583,7 @@
                 {"members", replica_.members()},
                 {"claims", state_.claim_count()},
                 {"endpoints", directory_.size()},
-                {"vms", vms}});
+                {"vms", vms_view(leases_, boottime_clock::now())}});
   }
 
   auto show_metrics(const exchange_ptr& call) -> void {
--- a/src/load.cpp
+++ b/src/load.cpp
@@ -37,6 +37,8 @@
     {"rate", "50", number_in{1, 1000000}, "requests a second"},
     {"requests", "1000", number_in{1, 100000000}, "requests in all"},
     {"tokens", "32", number_in{1, 512}, "mean tokens of an answer"},
+    {"steady", "false", one_of{{"true", "false"}},
+     "equal gaps and lengths in place of random ones"},
     {"plain-percent", "20", number_in{0, 100}, "share of plain calls"},
     {"stream-percent", "70", number_in{0, 100}, "share of streamed answers"},
     {"heavy-percent", "50", number_in{0, 100},
@@ -142,7 +144,8 @@
   auto pause(bool heavy) -> duration {
     const auto r = rate(heavy);
     if (r <= 0) return std::chrono::hours(24);
-    const auto gap = -std::log(1 - random_.unit()) / r;
+    const auto gap =
+        given_.flag("steady") ? 1 / r : -std::log(1 - random_.unit()) / r;
     return std::chrono::duration_cast<duration>(
         std::chrono::duration<double>(gap));
   }
@@ -176,8 +179,8 @@
     made->plain = chance("plain-percent");
     made->stream = !made->plain && chance("stream-percent");
     const auto mean = static_cast<std::uint64_t>(given_.number("tokens"));
-    made->tokens =
-        static_cast<std::int64_t>(1 + mean / 2 + random_.below(mean + 1));
+    made->tokens = static_cast<std::int64_t>(
+        given_.flag("steady") ? mean : 1 + mean / 2 + random_.below(mean + 1));
     made->prompt = "request-" + given_.text("seed") + "-" +
                    std::to_string(made->number) + " summarise this log";
     made->started = boottime_clock::now();
@@ -516,7 +519,7 @@
     // The last moment within five seconds at which the rate was too low.
     for (auto i = at; i < at + 50 && i + rate_window < buckets_.size(); ++i)
       if (mean(i, rate_window) < full_rate * full) back = i + 1;
-    const auto until = begun_ + bucket * back;
+    const auto until = begun_ + bucket * static_cast<std::int64_t>(back);
     return std::max<std::int64_t>(
         0, std::chrono::duration_cast<milliseconds>(until - mark).count());
   }
--- /dev/null
+++ b/src/operator_views.cpp
@@ -0,0 +1,60 @@
+#include "operator_views.hpp"
+
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace pollenloft {
+
+using json = nlohmann::json;
+
+auto history_view(const control_state& state) -> json {
+  auto rows = json::array();
+  for (const auto& patch : state.kept_patches())
+    rows.push_back({{"version", patch.version},
+                    {"id", patch.id},
+                    {"patch", json::parse(patch.body)}});
+  return rows;
+}
+
+auto audit_view(const control_state& state) -> json {
+  auto rows = json::array();
+  for (const auto& record : state.audit())
+    rows.push_back({{"at_ms", record.at_ms},
+                    {"who", record.who},
+                    {"what", record.what},
+                    {"base", record.base},
+                    {"version", record.version},
+                    {"result", record.result}});
+  return rows;
+}
+
+auto endpoints_view(const endpoint_directory& directory) -> json {
+  constexpr std::array<const char*, 3> states{"up", "leaving", "gone"};
+  auto rows = json::array();
+  for (const auto& [id, record] : directory.records())
+    rows.push_back(
+        {{"id", id},
+         {"service", record.pipeline},
+         {"kind", record.kind},
+         {"zone", record.zone},
+         {"address", record.address},
+         {"layers", {record.first_layer, record.last_layer}},
+         {"owner", record.owner},
+         {"state", states.at(static_cast<std::size_t>(record.state))}});
+  return rows;
+}
+
+auto vms_view(const lease_table& leases, instant now) -> json {
+  auto vms = json::object();
+  for (const auto& [vm, holder] : leases.holders())
+    vms[vm] = {{"version", holder.in_force},
+               {"zone", holder.zone},
+               {"address", holder.address},
+               {"draining", holder.draining},
+               {"lease_ms",
+                std::chrono::duration_cast<milliseconds>(holder.expires - now)
+                    .count()}};
+  return vms;
+}
+
+}  // namespace pollenloft
--- /dev/null
+++ b/src/operator_views.hpp
@@ -0,0 +1,28 @@
+/// \file operator_views.hpp
+/// What the control role shows operators, as JSON.
+#ifndef POLLENLOFT_OPERATOR_VIEWS_HPP
+#define POLLENLOFT_OPERATOR_VIEWS_HPP
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "pollenloft/control.hpp"
+
+namespace pollenloft {
+
+/// The patches still kept, oldest first: version, id, patch.
+auto history_view(const control_state& state) -> nlohmann::json;
+
+/// The audit trail, oldest first: at_ms, who, what, base, version, result.
+auto audit_view(const control_state& state) -> nlohmann::json;
+
+/// Every endpoint known: id, service, kind, zone, address, layers, owner,
+/// state.
+auto endpoints_view(const endpoint_directory& directory) -> nlohmann::json;
+
+/// The VMs with a lease, by name: version, zone, address, draining, and what
+/// is left of the lease.
+auto vms_view(const lease_table& leases, instant now) -> nlohmann::json;
+
+}  // namespace pollenloft
+
+#endif
