Handle an unanswered dispatch in one place

A connection that was never made, and one that broke, were handled alike for model and plain services in two copies. Behaviour stays.

--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -319,30 +319,36 @@
   if (attempt != life_.attempt() || !placed_) return;
   const auto& head = stages_.front().endpoint->id;
   std::visit(
-      overloaded{[&](const call_answered& answered) {
-                   if (answered.status == 503) return take_refusal(body);
-                   if (answered.status == 200) take_engine_data(attempt, body);
-                   if (plan_whole_ || !placed_ || attempt != life_.attempt())
-                     return;
-                   attempt_failed(head, false,
-                                  {"engine.call", head,
-                                   "answer " + std::to_string(answered.status) +
-                                       " without an end"});
-                 },
-                 [&](const call_unsent& unsent) {
-                   log_failure("endpoint.unreachable", unsent.cause);
-                   avoid_.insert(head);
-                   free_places(dispatch_result::down, head);
-                   step(request_event::not_run);
-                 },
-                 [&](const call_broken& broken) {
-                   attempt_failed(head,
-                                  broken.cause.reason == "connection closed",
-                                  broken.cause);
-                 }},
+      overloaded{
+          [&](const call_answered& answered) {
+            if (answered.status == 503) return take_refusal(body);
+            if (answered.status == 200) take_engine_data(attempt, body);
+            if (plan_whole_ || !placed_ || attempt != life_.attempt()) return;
+            attempt_failed(head, false,
+                           {"engine.call", head,
+                            "answer " + std::to_string(answered.status) +
+                                " without an end"});
+          },
+          [this](const call_unsent& unsent) { take_unanswered(unsent); },
+          [this](const call_broken& broken) { take_unanswered(broken); }},
       result);
 }
 
+/// The connection was never made: nothing ran.
+auto caller_request::take_unanswered(const call_unsent& unsent) -> void {
+  const auto endpoint = stages_.front().endpoint->id;
+  log_failure("endpoint.unreachable", unsent.cause);
+  avoid_.insert(endpoint);
+  free_places(dispatch_result::down, endpoint);
+  step(request_event::not_run);
+}
+
+/// The call may have reached the endpoint.
+auto caller_request::take_unanswered(const call_broken& broken) -> void {
+  attempt_failed(stages_.front().endpoint->id,
+                 broken.cause.reason == "connection closed", broken.cause);
+}
+
 auto caller_request::take_refusal(std::string_view body) -> void {
   const auto refusal = read_refusal(body);
   reason_ = "the endpoints are busy";
@@ -395,26 +401,17 @@
                                      const call_result& result,
                                      std::string_view body) -> void {
   if (attempt != life_.attempt() || !placed_) return;
-  const auto& endpoint = stages_.front().endpoint->id;
-  std::visit(overloaded{[&](const call_answered& /*answered*/) {
-                          if (plain_status_ == 0) return take_refusal(body);
-                          answer_ = body;
-                          free_places(dispatch_result::served, "");
-                          step(request_event::completed);
-                        },
-                        [&](const call_unsent& unsent) {
-                          log_failure("endpoint.unreachable", unsent.cause);
-                          avoid_.insert(endpoint);
-                          free_places(dispatch_result::down, endpoint);
-                          step(request_event::not_run);
-                        },
-                        [&](const call_broken& broken) {
-                          attempt_failed(
-                              endpoint,
-                              broken.cause.reason == "connection closed",
-                              broken.cause);
-                        }},
-             result);
+  std::visit(
+      overloaded{
+          [&](const call_answered& /*answered*/) {
+            if (plain_status_ == 0) return take_refusal(body);
+            answer_ = body;
+            free_places(dispatch_result::served, "");
+            step(request_event::completed);
+          },
+          [this](const call_unsent& unsent) { take_unanswered(unsent); },
+          [this](const call_broken& broken) { take_unanswered(broken); }},
+      result);
 }
 
 /// A dispatch broke off and may have run.
--- a/src/caller_request.hpp
+++ b/src/caller_request.hpp
@@ -105,6 +105,8 @@
                        std::string_view body) -> void;
   auto take_plain_done(std::size_t attempt, const call_result& result,
                        std::string_view body) -> void;
+  auto take_unanswered(const call_unsent& unsent) -> void;
+  auto take_unanswered(const call_broken& broken) -> void;
   auto take_refusal(std::string_view body) -> void;
   auto attempt_failed(const std::string& endpoint, bool crashed,
                       const error& cause) -> void;
