--- a/include/pollenloft/control.hpp
+++ b/include/pollenloft/control.hpp
@@ -45,6 +45,13 @@
 using command_reply =
     std::variant<std::monostate, patch_verdict, wire::claim_reply>;
 
+/// A configuration document that operators replace as a whole. The text is
+/// kept as it came; whoever uses it decodes it.
+struct numbered_document {
+  std::int64_t number = 0;  ///< 0 before the first
+  std::string text;
+};
+
 /// Bounds of what the replicated state keeps. They are part of the protocol:
 /// every replica must use the same.
 struct control_limits {
@@ -68,6 +75,7 @@
   auto load(std::string_view bytes) -> std::optional<bool>;
 
   auto config() const -> const configuration& { return config_; }
+  auto document() const -> const numbered_document& { return document_; }
   /// Patches after `version` in order; empty if they are no longer kept, then
   /// the whole configuration must be sent.
   auto patches_after(std::uint64_t version) const
@@ -95,6 +103,7 @@
   auto apply_settle(const wire::settle_command& settle) -> void;
   auto apply_abandon(const wire::abandon_command& abandon) -> void;
   auto apply_blame(const wire::blame_command& blame) -> void;
+  auto apply_document(wire::document_command document) -> void;
   auto expire(milliseconds now) -> void;
   auto forget_oldest_settled() -> bool;
   auto remember(const wire::patch_command& patch, const patch_verdict& verdict)
@@ -102,6 +111,7 @@
 
   control_limits limits_;
   configuration config_;
+  numbered_document document_;
   std::deque<wire::version_record> tail_;
   std::unordered_map<std::string, wire::patch_result> results_;
   std::deque<std::string> result_order_;
@@ -168,6 +178,13 @@
   auto orphan(const std::string& vm, instant now) -> void;
   auto drop_orphans(instant now, duration grace) -> void;
   auto clear() -> void;
+  /// Sets the layers that a runner holds; false if that was known.
+  auto set_layers(const std::string& id, std::int32_t first, std::int32_t last)
+      -> bool;
+  /// Notes whether reports of an endpoint are overdue; false if known.
+  auto set_silent(const std::string& id, bool silent) -> bool;
+  /// Ends an endpoint whatever its incarnation; false if it had ended.
+  auto end(const std::string& id) -> bool;
   /// Records changed after `sequence`.
   auto changes_after(std::int64_t sequence) const
       -> std::vector<wire::endpoint_record>;
--- a/include/pollenloft/core.hpp
+++ b/include/pollenloft/core.hpp
@@ -80,6 +80,12 @@
   auto operator==(const socket_address&) const -> bool = default;
 };
 
+/// The address's four bytes as a number, most significant first; 0 if `host`
+/// is not of form a.b.c.d.
+auto ipv4_number(const std::string& host) -> std::uint32_t;
+/// The reverse: `a.b.c.d`.
+auto ipv4_text(std::uint32_t number) -> std::string;
+
 /// Parses `a.b.c.d:port`.
 auto parse_socket_address(std::string_view text)
     -> std::optional<socket_address>;
--- /dev/null
+++ b/include/pollenloft/ingress.hpp
@@ -0,0 +1,134 @@
+/// \file ingress.hpp
+/// What a configuration document says of requests: routes by host and path,
+/// services, client accounts and their keys. Pure.
+#ifndef POLLENLOFT_INGRESS_HPP
+#define POLLENLOFT_INGRESS_HPP
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "pollenloft/core.hpp"
+
+namespace pollenloft {
+
+/// What may be repeated of a route's requests.
+enum class request_kind {
+  idempotent,      ///< may run more than once
+  non_idempotent,  ///< runs at most once
+  stream           ///< answered by events; repeated only where it may resume
+};
+
+/// A service's part of a route's requests.
+struct route_share {
+  std::string service;
+  double weight = 1;
+};
+
+struct ingress_route {
+  std::string name;
+  std::string host;
+  std::string prefix;
+  request_kind kind = request_kind::non_idempotent;
+  bool resumable = false;  ///< streams go on at another endpoint
+  bool open = false;       ///< needs no key
+  milliseconds timeout{0};
+  milliseconds objective{0};  ///< for the first event, or the whole answer
+  milliseconds event_gap{0};  ///< longest pause of a stream that is on time
+  std::int32_t priority = 1;  ///< 0 goes first
+  std::size_t attempts = 1;   ///< most endpoints for one request
+  std::vector<route_share> shares;
+
+  auto may_repeat() const -> bool {
+    return kind == request_kind::idempotent ||
+           (kind == request_kind::stream && resumable);
+  }
+};
+
+/// A kind of accelerator that runners have.
+struct accelerator {
+  double memory_mb = 0;
+  double step_factor = 1;     ///< of the time of a token step
+  double prefill_factor = 1;  ///< of the time of a prompt token
+};
+
+/// How a service's runners work: sizes and times for all layers on an
+/// accelerator of factor 1.
+struct engine_profile {
+  std::string model;
+  std::int32_t layers = 1;
+  double layer_mb = 0;
+  double cache_bytes = 0;       ///< of a token, all layers
+  double activation_bytes = 0;  ///< of a token between two runners
+  double zone_link_mbps = 0;    ///< shared by all between two zones
+  double step_ms = 0;
+  double step_ms_per_sequence = 0;
+  double step_ms_per_context_k = 0;  ///< per 1,000 tokens of context
+  double prefill_tokens_per_s = 1;
+  double typical_prompt = 0;  ///< tokens
+  double typical_answer = 0;  ///< tokens
+  duration load_time{};       ///< of all layers
+  std::size_t loads_at_once = 1;
+  std::map<std::string, accelerator> accelerators;
+};
+
+struct ingress_service {
+  std::string name;
+  std::optional<engine_profile> engine;  ///< empty for a plain service
+};
+
+struct ingress_account {
+  std::string name;
+  std::optional<std::int32_t> priority;  ///< goes before the route's
+};
+
+/// Bounds on what a caller may send and how long it may idle.
+struct ingress_limits {
+  std::size_t header_bytes = 16 * 1024;
+  std::size_t body_bytes = 4 * 1024 * 1024;
+  milliseconds header_timeout{3000};
+  milliseconds idle_timeout{15000};
+};
+
+/// A decoded configuration document.
+struct ingress_config {
+  std::int64_t number = 0;
+  std::vector<ingress_route> routes;
+  std::map<std::string, ingress_service> services;
+  bool has_accounts = false;  ///< requests need keys
+  std::vector<ingress_account> accounts;
+  std::unordered_map<std::string, std::size_t> account_by_key;
+  ingress_limits limits;
+};
+
+/// Finds routes and accounts of one document:
+///
+///     route_table table(config);
+///     if (const auto* route = table.find("api.example", "/chat/1")) ...
+class route_table {
+ public:
+  explicit route_table(std::shared_ptr<const ingress_config> config);
+
+  auto config() const -> const ingress_config& { return *config_; }
+  /// The route of this host with the longest prefix of the path, or null.
+  auto find(std::string_view host, std::string_view path) const
+      -> const ingress_route*;
+  auto account_of(const std::string& key) const -> const ingress_account*;
+
+ private:
+  std::shared_ptr<const ingress_config> config_;
+  /// Routes of each host by prefix.
+  std::unordered_map<std::string, std::map<std::string, std::size_t>> hosts_;
+};
+
+/// The service for a request, drawn by weight; `draw` is uniform in [0, 1).
+auto pick_service(const ingress_route& route, double draw)
+    -> const std::string&;
+
+}  // namespace pollenloft
+
+#endif
--- a/include/pollenloft/net.hpp
+++ b/include/pollenloft/net.hpp
@@ -152,6 +152,8 @@
   /// Keeps the connection for the next call to this peer. Calls that must not
   /// be repeated leave it off: a fresh connection cannot be stale.
   bool keep_alive = false;
+  /// How long a new connection may take; then the call was not sent.
+  duration connect_timeout = std::chrono::seconds(10);
 };
 
 /// How a call ended.
--- /dev/null
+++ b/include/pollenloft/placement.hpp
@@ -0,0 +1,69 @@
+/// \file placement.hpp
+/// Decides which layers each runner holds. Pure.
+///
+/// Load it answers: requests stay in their availability zone, so that
+/// activations do not cross the links between zones, and memory for requests
+/// is what binds first. Each zone holds one copy of the model on its fastest
+/// runners, with room for as many tokens as its memory allows; runners left
+/// over hold second copies.
+#ifndef POLLENLOFT_PLACEMENT_HPP
+#define POLLENLOFT_PLACEMENT_HPP
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "pollenloft/ingress.hpp"
+
+namespace pollenloft {
+
+/// Layers [from, to); empty if both are equal.
+struct layer_span {
+  std::int32_t from = 0;
+  std::int32_t to = 0;
+
+  auto size() const -> std::int32_t { return to - from; }
+  auto empty() const -> bool { return to <= from; }
+  auto covers(std::int32_t layer) const -> bool {
+    return from <= layer && layer < to;
+  }
+  auto operator==(const layer_span&) const -> bool = default;
+};
+
+/// A runner as the placement sees it.
+struct placed_runner {
+  std::string id;
+  std::string zone;
+  accelerator kind;
+  layer_span held;    ///< or being loaded
+  bool busy = false;  ///< an order is under way
+};
+
+struct placement_options {
+  /// Tokens of requests that each zone's copy should have room for.
+  double most_tokens = 120000;
+  double least_tokens = 30000;  ///< when a repair has to squeeze
+  double token_step = 5000;     ///< precision of the search between them
+};
+
+using layer_plan = std::map<std::string, layer_span>;
+
+/// Most layers a runner may hold so that `tokens` tokens of requests fit
+/// beside their weights.
+auto most_layers(const engine_profile& engine, const accelerator& kind,
+                 double tokens) -> std::int32_t;
+
+/// Spans for runners that hold nothing yet: the first placement.
+auto plan_first(const engine_profile& engine,
+                const std::vector<placed_runner>& runners,
+                const placement_options& options) -> layer_plan;
+
+/// Changes that mend what is missing: layers that no live runner of a zone
+/// holds, then work for runners that hold nothing. Empty when all is well.
+auto plan_repair(const engine_profile& engine,
+                 const std::vector<placed_runner>& runners,
+                 const placement_options& options) -> layer_plan;
+
+}  // namespace pollenloft
+
+#endif
--- a/include/pollenloft/replica.hpp
+++ b/include/pollenloft/replica.hpp
@@ -89,6 +89,8 @@
 struct recover_reply {
   std::uint64_t nonce = 0;
   bool fresh = false;  ///< the sender has never voted nor stored an entry
+  std::vector<replica_id> members{};  ///< as the sender knows them
+  log_index commit = 0;               ///< how much the sender knows
 };
 /// Asks a follower to campaign at once, before a leader shuts down.
 struct campaign_request {};
@@ -119,6 +121,11 @@
 struct replica_options {
   replica_id id = 0;
   std::vector<replica_id> members;  ///< used until the log says otherwise
+  /// An entry commits on a majority and on at least this many disks, or on
+  /// all while there are fewer members.
+  std::size_t least_copies = 1;
+  /// Empty disks may form a new system; otherwise they wait to be told.
+  bool may_form = true;
   duration heartbeat = milliseconds(100);
   duration election_min = milliseconds(300);
   duration election_max = milliseconds(600);
@@ -167,6 +174,10 @@
   auto last_index() const -> log_index;
   auto first_index() const -> log_index { return snapshot_.index + 1; }
   auto members() const -> const std::vector<replica_id>& { return members_; }
+  auto is_member(replica_id id) const -> bool;
+  /// When a member was last heard by this leader; empty if never, or if this
+  /// replica does not lead.
+  auto last_heard(replica_id id) const -> std::optional<instant>;
   auto entry_at(log_index index) const -> const log_entry*;
   /// True once the leader has committed an entry of its own term, so that its
   /// applied state holds everything committed before.
@@ -181,12 +192,14 @@
     log_index match = 0;
     std::uint64_t acked_round = 0;
     instant sent_at{};
+    std::optional<instant> heard;
     bool in_flight = false;
   };
 
   auto term_at(log_index index) const -> log_term;
   auto majority() const -> std::size_t { return members_.size() / 2 + 1; }
-  auto is_member(replica_id id) const -> bool;
+  auto copies_needed() const -> std::size_t;
+  auto adopt_known_members() -> void;
   auto send(replica_id to, decltype(replica_message::body) body) -> void;
   auto mark_hard() -> void;
   auto append_entry(log_entry entry) -> void;
--- a/include/pollenloft/route.hpp
+++ b/include/pollenloft/route.hpp
@@ -28,6 +28,7 @@
   std::int32_t first_layer = 0;
   std::int32_t last_layer = 1;  ///< one past the last
   std::int32_t slots = 1;       ///< requests it takes at once
+  duration layer_time{};        ///< known for its kind; 0 if it must be learned
 };
 
 /// One step of a chain: the endpoint runs layers [from, to).
@@ -72,6 +73,11 @@
   duration eject_time = std::chrono::seconds(1);
   duration report_half_life = milliseconds(500);
   std::size_t samples = 4;  ///< endpoints compared for each layer range
+  std::string zone;         ///< of this VM; callers are near
+  /// Time that a token loses on a link between zones, until learned.
+  duration zone_link_time = milliseconds(1);
+  /// Whether chains of unlike endpoints cost extra.
+  bool avoid_mismatch = true;
 };
 
 struct chain_request {
--- a/include/pollenloft/settings.hpp
+++ b/include/pollenloft/settings.hpp
@@ -1,7 +1,8 @@
 /// \file settings.hpp
-/// Settings of a program, each a flag `--name` and an environment variable
-/// `POLLENLOFT_NAME`; a flag goes before the variable. All are checked before
-/// the program starts anything.
+/// Settings of a program, each a flag `--name`, an environment variable
+/// `POLLENLOFT_NAME` and a line `name = value` of the file named by
+/// `--settings`; a flag goes before the variable, the variable before the file.
+/// All are checked before the program starts anything.
 #ifndef POLLENLOFT_SETTINGS_HPP
 #define POLLENLOFT_SETTINGS_HPP
 
@@ -22,13 +23,18 @@
   std::int64_t most;
 };
 struct one_address {};
+/// `a.b.c.d:port` or nothing.
+struct optional_address {};
+/// `a.b.c.d:port,...` or nothing.
+struct plain_addresses {};
 /// `id=a.b.c.d:port,...`
 struct address_list {};
 struct one_of {
   std::vector<std::string> values;
 };
-using setting_domain = std::variant<any_text, nonempty_text, number_in,
-                                    one_address, address_list, one_of>;
+using setting_domain =
+    std::variant<any_text, nonempty_text, number_in, one_address,
+                 optional_address, plain_addresses, address_list, one_of>;
 
 /// One setting: its name, default, what is allowed and its help line.
 struct setting {
@@ -47,6 +53,7 @@
   auto address(const std::string& name) const -> socket_address;
   auto addresses(const std::string& name) const
       -> std::map<std::string, socket_address>;
+  auto plain_list(const std::string& name) const -> std::vector<socket_address>;
   auto flag(const std::string& name) const -> bool;
   auto arguments() const -> const std::vector<std::string>& { return rest_; }
 
@@ -57,9 +64,9 @@
   std::vector<std::string> rest_;
 };
 
-/// Reads flags and environment. Holds an exit code instead when the program
-/// should end: 0 after `--help` or `--version`, 2 after printing each fault
-/// as `setting=... value=... allowed=...`.
+/// Reads flags, environment and settings file. Holds an exit code instead when
+/// the program should end: 0 after `--help` or `--version`, 2 after printing
+/// each fault as `setting=... value=... allowed=...`.
 auto parse_settings(const std::string& usage, const std::vector<setting>& known,
                     int argc, char** argv) -> std::variant<settings, int>;
 
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -32,6 +32,7 @@
   if (command->__isset.settle) apply_settle(command->settle);
   if (command->__isset.abandon) apply_abandon(command->abandon);
   if (command->__isset.blame) apply_blame(command->blame);
+  if (command->__isset.document) apply_document(std::move(command->document));
   return {};
 }
 
@@ -214,6 +215,21 @@
   }
 }
 
+/// The highest number wins, in whatever order the commands were sent.
+auto control_state::apply_document(wire::document_command document) -> void {
+  if (document.number <= document_.number) return;
+  wire::audit_record record;
+  record.at_ms = document.at_ms;
+  record.who = "operator";
+  record.what = "document " + std::to_string(document.number);
+  record.base = document_.number;
+  record.version = document.number;
+  record.result = "accepted";
+  audit_.push_back(std::move(record));
+  if (audit_.size() > limits_.audit_records) audit_.pop_front();
+  document_ = {document.number, std::move(document.text)};
+}
+
 auto control_state::blame_points(std::uint64_t fingerprint) const -> int {
   const auto found = blames_.find(static_cast<std::int64_t>(fingerprint));
   return found == blames_.end() ? 0 : found->second.points;
@@ -267,6 +283,8 @@
       out.claims.push_back(found->second);
   }
   out.blames = all_blames();
+  out.document = document_.number;
+  out.document_text = document_.text;
   return encode_wire(out);
 }
 
@@ -292,6 +310,7 @@
   }
   for (auto& blame : in->blames)
     blames_[blame.fingerprint] = std::move(blame);
+  document_ = {in->document, std::move(in->document_text)};
   return true;
 }
 
@@ -384,8 +403,12 @@
     if (found != records_.end()) {
       auto& known = found->second;
       if (report.incarnation < known.incarnation) continue;
+      const auto same_start = report.incarnation == known.incarnation;
       // Within one incarnation an endpoint only moves towards gone.
-      if (report.incarnation == known.incarnation && report.state < known.state)
+      if (same_start && report.state < known.state) continue;
+      // Numbered reports may arrive out of order.
+      if (same_start && report.state == known.state &&
+          report.report < known.report)
         continue;
       // A VM that lost the endpoint to another one cannot end it.
       const auto ended =
@@ -394,6 +417,9 @@
       orphans_.erase(report.id);
       auto next = report;
       next.sequence = known.sequence;
+      // A newer report that says the same is no change.
+      known.report = std::max(known.report, report.report);
+      next.report = known.report;
       if (next == known) continue;
       known = std::move(next);
       touch(known);
@@ -441,6 +467,36 @@
   orphans_.clear();
 }
 
+auto endpoint_directory::set_layers(const std::string& id, std::int32_t first,
+                                    std::int32_t last) -> bool {
+  const auto found = records_.find(id);
+  if (found == records_.end()) return false;
+  auto& record = found->second;
+  if (record.first_layer == first && record.last_layer == last) return false;
+  record.first_layer = first;
+  record.last_layer = last;
+  touch(record);
+  return true;
+}
+
+auto endpoint_directory::set_silent(const std::string& id, bool silent)
+    -> bool {
+  const auto found = records_.find(id);
+  if (found == records_.end() || found->second.silent == silent) return false;
+  found->second.silent = silent;
+  touch(found->second);
+  return true;
+}
+
+auto endpoint_directory::end(const std::string& id) -> bool {
+  const auto found = records_.find(id);
+  const auto gone = static_cast<std::int8_t>(endpoint_state::gone);
+  if (found == records_.end() || found->second.state == gone) return false;
+  found->second.state = gone;
+  touch(found->second);
+  return true;
+}
+
 auto endpoint_directory::changes_after(std::int64_t sequence) const
     -> std::vector<wire::endpoint_record> {
   std::vector<wire::endpoint_record> changes;
--- a/src/control_client.cpp
+++ b/src/control_client.cpp
@@ -1,5 +1,7 @@
 #include "control_client.hpp"
 
+#include <algorithm>
+
 #include "pollenloft/telemetry.hpp"
 
 namespace pollenloft {
@@ -56,6 +58,7 @@
   request.term = term_;
   request.directory_sequence = directory_sequence_;
   request.draining = draining_;
+  request.document = document_.number;
   request.first = first_renewal_;
   if (usage_source_) request.usage = usage_source_();
   http_call call{options_.replicas[target_],
@@ -76,7 +79,9 @@
 
 auto control_client::take_renewal(instant sent, std::string_view body) -> void {
   const auto reply = decode_wire<wire::renew_reply>(body);
-  if (!reply || !reply->granted || !take_config(*reply)) {
+  const auto granted = reply && reply->granted;
+  if (reply) learn_replicas(*reply);
+  if (!granted || !take_document(*reply, sent) || !take_config(*reply)) {
     follow(reply ? reply->leader : "");
     retry_ = loop_.after(retry_pause, [this] { renew(); });
     return;
@@ -100,6 +105,55 @@
   renew();
 }
 
+auto control_client::set_seeds(const std::vector<socket_address>& seeds)
+    -> void {
+  for (const auto& seed : seeds) {
+    auto& known = options_.replicas;
+    if (std::find(known.begin(), known.end(), seed) == known.end())
+      known.push_back(seed);
+  }
+}
+
+/// The members that the leader names come first; others stay known, since a
+/// VM that was cut off for long may know none of the present members.
+auto control_client::learn_replicas(const wire::renew_reply& reply) -> void {
+  std::vector<socket_address> named;
+  for (const auto& text : reply.replicas)
+    if (auto address = parse_socket_address(text))
+      named.push_back(std::move(*address));
+  set_seeds(named);
+}
+
+auto control_client::document_age() const -> duration {
+  return document_seen_ ? boottime_clock::now() - *document_seen_
+                        : duration::max();
+}
+
+auto control_client::document_fresh() const -> bool {
+  return document_age() < options_.document_freshness;
+}
+
+auto control_client::take_document(const wire::renew_reply& reply, instant sent)
+    -> bool {
+  if (reply.document < document_.number) {
+    log_event(log_level::error, "document.older",
+              {{"held", document_.number}, {"leader", reply.document}});
+    return false;
+  }
+  const auto changed = reply.document > document_.number;
+  if (changed) {
+    if (reply.document_text.empty()) return false;
+    document_ = {reply.document, reply.document_text};
+  }
+  document_seen_ = sent;
+  if (changed) {
+    log_event(log_level::info, "document.in_force",
+              {{"number", document_.number}, {"term", reply.term}});
+    document_changed.emit();
+  }
+  return true;
+}
+
 /// Brings the newer versions into force; false if they do not fit on ours.
 auto control_client::take_config(const wire::renew_reply& reply) -> bool {
   const auto before = config_.version;
--- a/src/control_client.hpp
+++ b/src/control_client.hpp
@@ -20,6 +20,9 @@
   std::string zone;
   std::string address;
   std::vector<socket_address> replicas;
+  /// How long this VM may act on client accounts' keys without hearing from
+  /// the leader that its document is the newest.
+  duration document_freshness = std::chrono::seconds(4);
 };
 
 class control_client {
@@ -35,6 +38,15 @@
   /// dispatch, so a process that was frozen does not serve on an old one.
   auto lease_valid() const -> bool;
   auto config() const -> const configuration& { return config_; }
+  /// The newest document known; its number never falls while this runs.
+  auto document() const -> const numbered_document& { return document_; }
+  /// The document was the newest at some moment within the last
+  /// `document_freshness`, on a clock that counts suspension.
+  auto document_fresh() const -> bool;
+  /// Since when the document is known to have been the newest.
+  auto document_age() const -> duration;
+  /// Other control replicas to try, besides those of the last answer.
+  auto set_seeds(const std::vector<socket_address>& seeds) -> void;
   auto term() const -> std::int64_t { return term_; }
   auto vm_count() const -> std::size_t { return vm_count_; }
   /// Usage of the heaviest client accounts over all VMs.
@@ -63,6 +75,7 @@
 
   sigc::signal<void()> config_changed;
   sigc::signal<void()> leader_changed;
+  sigc::signal<void()> document_changed;
   /// Changed endpoint records; `true` if this is the whole directory.
   sigc::signal<void(const std::vector<wire::endpoint_record>&, bool)>
       endpoints_changed;
@@ -74,6 +87,8 @@
   auto renew() -> void;
   auto take_renewal(instant sent, std::string_view body) -> void;
   auto take_config(const wire::renew_reply& reply) -> bool;
+  auto take_document(const wire::renew_reply& reply, instant sent) -> bool;
+  auto learn_replicas(const wire::renew_reply& reply) -> void;
   auto follow(const std::string& leader) -> void;
   auto next_replica() -> void;
   /// Posts to the leader until `redirect` finds the answer final (empty) or
@@ -86,6 +101,8 @@
   control_client_options options_;
   std::size_t target_ = 0;
   configuration config_;
+  numbered_document document_;
+  std::optional<instant> document_seen_;
   bool has_config_ = false;
   bool first_renewal_ = true;
   bool draining_ = false;
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -6,6 +6,8 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 
+#include "control_gateway.hpp"
+#include "layer_placer.hpp"
 #include "operator_views.hpp"
 #include "pollenloft/control.hpp"
 #include "pollenloft/journal.hpp"
@@ -21,6 +23,9 @@
 constexpr auto tick_period = milliseconds(20);
 constexpr auto peer_timeout = milliseconds(400);
 constexpr auto orphan_grace = std::chrono::seconds(3);
+constexpr auto join_period = milliseconds(500);
+/// A member that is away this long may be replaced by one that asks to join.
+constexpr auto replace_after = std::chrono::seconds(5);
 constexpr auto patch_wait = std::chrono::seconds(8);
 constexpr std::size_t peer_queue = 64;         // message batches to one peer
 constexpr std::size_t pending_claims = 20000;  // proposals not yet committed
@@ -29,9 +34,22 @@
 constexpr std::uint64_t compact_bytes = 4 * 1024 * 1024;
 
 const std::vector<setting> known_settings{
-    {"id", "", nonempty_text{}, "number of this replica, a key of --peers"},
+    {"id", "0", number_in{0, UINT32_MAX},
+     "number of this replica, a key of --peers; 0 takes the address's"},
     {"listen", "", one_address{}, "address to serve on"},
     {"peers", "", address_list{}, "all replicas, id=a.b.c.d:port,..."},
+    {"seeds", "", plain_addresses{},
+     "in place of --peers: VMs that form the first group; their replicas "
+     "listen on the port of --listen and have their addresses as numbers"},
+    {"bootstrap", "true", one_of{{"true", "false"}},
+     "empty disks may form a new system"},
+    {"tolerate-losses", "1", number_in{0, 9},
+     "replicas that may be lost at once with their disks; with --seeds the "
+     "group grows to twice as many and one"},
+    {"platform-listen", "", optional_address{},
+     "address for the platform's operators and endpoints"},
+    {"report-period-ms", "1200", number_in{50, 600000},
+     "how often the platform's endpoints report themselves"},
     {"data", "", nonempty_text{}, "folder for the replicated log"},
     {"lease-ms", "1500", number_in{300, 60000}, "configuration lease"},
     {"heartbeat-ms", "100", number_in{10, 5000}, "leader's heartbeat"},
@@ -56,7 +74,7 @@
   call->reply(200, headers, encode_wire(message));
 }
 
-class control_server {
+class control_server : public control_host {
  public:
   control_server(event_loop& loop, const settings& given, journal disk)
       : loop_(loop),
@@ -65,14 +83,26 @@
                 [this](const exchange_ptr& call) { route(call); }),
         disk_(std::move(disk)),
         peers_(given.addresses("peers")),
-        id_(static_cast<replica_id>(given.number("id"))),
+        seeds_(given.plain_list("seeds")),
+        listen_(given.address("listen")),
+        id_(own_id(given)),
+        most_members_(
+            static_cast<std::size_t>(2 * given.number("tolerate-losses") + 1)),
         leases_(given.millis("lease-ms")),
         no_lease_wait_(given.text("switch-off") == "lease-wait"),
         replica_(make_options(given), disk_.take_found(),
-                 boottime_clock::now()) {}
+                 boottime_clock::now()),
+        placer_(loop_, client_, directory_) {
+    if (!given.text("platform-listen").empty())
+      gateway_ = std::make_unique<control_gateway>(
+          loop_, *this, given.address("platform-listen"),
+          given.millis("report-period-ms"));
+    placer_.changed.connect([this] { schedule_wake(); });
+  }
 
   auto start(const socket_address& listen) -> std::optional<bool> {
     if (!server_.listen(listen)) return std::nullopt;
+    if (gateway_ && !gateway_->start()) return std::nullopt;
     ticker_ = loop_.every(tick_period, [this] { tick(); });
     schedule_flush();
     return true;
@@ -86,6 +116,36 @@
 
   auto failed() const -> bool { return failed_; }
 
+  auto set_seeds(std::vector<socket_address> seeds) -> void {
+    seeds_ = std::move(seeds);
+  }
+
+  // control_host
+  auto in_charge() const -> bool override {
+    return replica_.established() &&
+           boottime_clock::now() < replica_.leads_until();
+  }
+  auto leader_host() const -> std::string override {
+    const auto address = peer_address(replica_.leader());
+    return address ? address->host : "";
+  }
+  auto state() const -> const control_state& override { return state_; }
+  auto directory() -> endpoint_directory& override { return directory_; }
+  auto submit_document(wire::document_command document, committed done)
+      -> void override {
+    wire::command command;
+    command.__isset.document = true;
+    command.document = std::move(document);
+    submit(command,
+           [done = std::move(done)](const auto& reply) { done(!!reply); });
+  }
+  auto share(const wire::directory_share& news) -> void override {
+    const auto body = encode_wire(news);
+    for (auto id : replica_.members())
+      if (id != id_) post_to(id, "/peer/directory", body);
+  }
+  auto directory_changed() -> void override { schedule_wake(); }
+
  private:
   using reply_slot = sigc::slot<void(const std::optional<command_reply>&)>;
   struct pending_command {
@@ -107,9 +167,19 @@
     instant due;
   };
 
+  static auto own_id(const settings& given) -> replica_id {
+    const auto id = static_cast<replica_id>(given.number("id"));
+    return id != 0 ? id : ipv4_number(given.address("listen").host);
+  }
+
   static auto make_options(const settings& given) -> replica_options {
     replica_options options;
-    options.id = static_cast<replica_id>(given.number("id"));
+    options.id = own_id(given);
+    for (const auto& seed : given.plain_list("seeds"))
+      options.members.push_back(ipv4_number(seed.host));
+    options.least_copies =
+        static_cast<std::size_t>(given.number("tolerate-losses")) + 1;
+    options.may_form = given.flag("bootstrap");
     for (const auto& [id, address] : given.addresses("peers"))
       options.members.push_back(
           static_cast<replica_id>(parse_number(id).value_or(0)));
@@ -121,15 +191,31 @@
     return options;
   }
 
+  /// Replicas that are not listed have their address as number.
+  auto peer_address(replica_id id) const -> std::optional<socket_address> {
+    const auto found = peers_.find(std::to_string(id));
+    if (found != peers_.end()) return found->second;
+    if (id == 0 || !peers_.empty()) return std::nullopt;
+    return socket_address{ipv4_text(id), listen_.port};
+  }
+
   auto leader_address() const -> std::string {
-    const auto found = peers_.find(std::to_string(replica_.leader()));
-    return found == peers_.end() ? "" : found->second.text();
+    const auto address = peer_address(replica_.leader());
+    return address ? address->text() : "";
   }
 
-  /// This replica leads, its state is complete and no other can lead yet.
-  auto in_charge() const -> bool {
-    return replica_.established() &&
-           boottime_clock::now() < replica_.leads_until();
+  auto post_to(replica_id id, const std::string& path, const std::string& body)
+      -> void {
+    const auto address = peer_address(id);
+    auto& waiting = in_flight_[id];
+    if (!address || waiting >= peer_queue) return;
+    ++waiting;
+    control_bytes_ += body.size();
+    client_.send(
+        http_call{*address, "POST", path, {}, body, peer_timeout, true},
+        {{}, {}, [this, id](const auto& /*result*/, auto) {
+           --in_flight_[id];
+         }});
   }
 
   // --- replication -------------------------------------------------------
@@ -139,6 +225,8 @@
     replica_.tick(now);
     note_role(now);
     if (in_charge()) lead(now);
+    if (gateway_) gateway_->tick(now);
+    keep_membership(now);
     answer_renewals(now);
     answer_patches(now);
     schedule_flush();
@@ -156,7 +244,12 @@
                {"leader", replica_.leader()}});
     if (leads) {
       leases_.start_term(now);
-      directory_.clear();
+      led_since_ = now;
+      if (gateway_) gateway_->share_all();
+      // Reports to entry VMs are made again to a new leader; those of the
+      // platform reach every control VM.
+      if (!gateway_) directory_.clear();
+      placer_.start_term(static_cast<std::int64_t>(replica_.term()));
     }
     if (led) fail_pending();
   }
@@ -180,6 +273,8 @@
       directory_.orphan(vm, now);
     }
     directory_.drop_orphans(now, orphan_grace);
+    if (gateway_)
+      if (const auto config = gateway_->config()) placer_.tick(*config, now);
     if (!leases_.settled(now)) return;
     for (const auto& holder : state_.claim_holders()) {
       if (leases_.is_live(holder, now)) continue;
@@ -290,16 +385,71 @@
   }
 
   auto send_batch(replica_id to, const wire::message_batch& batch) -> void {
-    const auto found = peers_.find(std::to_string(to));
-    auto& waiting = in_flight_[to];
-    if (found == peers_.end() || waiting >= peer_queue) return;
-    ++waiting;
-    http_call call{found->second,      "POST",       "/peer", {},
-                   encode_wire(batch), peer_timeout, true};
-    control_bytes_ += call.body.size();
-    client_.send(call, {{}, {}, [this, to](const auto& /*result*/, auto) {
-                          --in_flight_[to];
-                        }});
+    post_to(to, "/peer", encode_wire(batch));
+  }
+
+  // --- membership --------------------------------------------------------
+
+  /// A replica that is no member asks the seeds to be taken in; the leader
+  /// answers nothing, since the log tells.
+  auto keep_membership(instant now) -> void {
+    if (seeds_.empty() || now - asked_to_join_ < join_period) return;
+    if (replica_.is_member(id_)) return;
+    asked_to_join_ = now;
+    wire::join_request request;
+    request.id = static_cast<std::int32_t>(id_);
+    const auto body = encode_wire(request);
+    std::set<replica_id> asked;
+    for (const auto& seed : seeds_)
+      asked.insert(ipv4_number(seed.host));
+    for (auto id : replica_.members())
+      asked.insert(id);
+    for (auto id : asked)
+      if (id != id_) post_to(id, "/peer/join", body);
+  }
+
+  auto take_join(const exchange_ptr& call) -> void {
+    const auto request = decode_body<wire::join_request>(call);
+    if (!request) return;
+    call->reply(200, {}, "");
+    const auto id = static_cast<replica_id>(request->id);
+    if (!in_charge() || replica_.is_member(id)) return;
+    auto members = replica_.members();
+    if (members.size() >= most_members_) {
+      const auto lost = longest_unheard(boottime_clock::now());
+      if (!lost) return;
+      members.erase(std::find(members.begin(), members.end(), *lost));
+      log_event(log_level::warning, "member.removed",
+                {{"id", *lost}, {"address", ipv4_text(*lost)}});
+    } else {
+      members.push_back(id);
+      log_event(log_level::info, "member.added",
+                {{"id", id}, {"address", ipv4_text(id)}});
+    }
+    if (!replica_.propose_members(members, boottime_clock::now()))
+      log_failure("member.change_refused", last_error());
+    schedule_flush();
+  }
+
+  /// The member that has been away longest, if for long enough.
+  auto longest_unheard(instant now) const -> std::optional<replica_id> {
+    std::optional<replica_id> longest;
+    auto since = now - replace_after;
+    for (auto id : replica_.members()) {
+      if (id == id_) continue;
+      const auto heard = replica_.last_heard(id).value_or(led_since_);
+      if (heard > since) continue;
+      since = heard;
+      longest = id;
+    }
+    return longest;
+  }
+
+  auto take_directory(const exchange_ptr& call) -> void {
+    const auto news = decode_body<wire::directory_share>(call);
+    if (!news) return;
+    call->reply(200, {}, "");
+    if (gateway_) gateway_->take_share(*news);
   }
 
   // --- requests ----------------------------------------------------------
@@ -308,6 +458,8 @@
     const auto& path = call->request().path;
     const auto post = call->request().method == "POST";
     if (post && path == "/peer") return take_messages(call);
+    if (post && path == "/peer/join") return take_join(call);
+    if (post && path == "/peer/directory") return take_directory(call);
     if (post && path == "/control/renew") return take_renewal(call);
     if (post && path == "/control/report") return take_report(call);
     if (post && path == "/control/claim") return take_claim(call);
@@ -373,6 +525,7 @@
   auto news_for(const wire::renew_request& request) const -> bool {
     return static_cast<std::uint64_t>(request.in_force) !=
                state_.config().version ||
+           request.document != state_.document().number ||
            request.term != static_cast<std::int64_t>(replica_.term()) ||
            request.directory_sequence != directory_.sequence();
   }
@@ -417,6 +570,12 @@
       reply.patches = std::move(*patches);
     else
       reply.configuration = state_.config().text();
+    const auto& document = state_.document();
+    reply.document = document.number;
+    if (request.document < document.number) reply.document_text = document.text;
+    for (auto id : replica_.members())
+      if (const auto address = peer_address(id))
+        reply.replicas.push_back(address->text());
     reply.directory_full = request.term != reply.term;
     reply.directory_sequence = directory_.sequence();
     reply.endpoints = directory_.changes_after(
@@ -607,12 +766,19 @@
   http_server server_;
   journal disk_;
   std::map<std::string, socket_address> peers_;
+  std::vector<socket_address> seeds_;
+  socket_address listen_;
   replica_id id_;
+  std::size_t most_members_;
   lease_table leases_;
   bool no_lease_wait_;
   replica replica_;
   control_state state_;
   endpoint_directory directory_;
+  layer_placer placer_;
+  std::unique_ptr<control_gateway> gateway_;
+  instant asked_to_join_{};
+  instant led_since_{};
   metrics metrics_;
   timer ticker_;
   timer stopping_;
@@ -634,9 +800,10 @@
 
 auto check_together(const settings& given) -> bool {
   auto sound = true;
-  if (given.addresses("peers").count(given.text("id")) == 0) {
+  const auto listed = given.addresses("peers").count(given.text("id")) != 0;
+  if (given.plain_list("seeds").empty() && !listed) {
     std::cerr << "setting=id value=\"" << given.text("id")
-              << "\" allowed=\"a key of --peers\"\n";
+              << "\" allowed=\"a key of --peers, or --seeds\"\n";
     sound = false;
   }
   if (2 * given.millis("election-ms") > given.millis("lease-ms")) {
@@ -668,6 +835,14 @@
   log_event(log_level::info, "started", {{"listen", given.text("listen")}});
   const auto terminate = loop.on_signal(SIGTERM, [&] { server.shut_down(); });
   const auto interrupt = loop.on_signal(SIGINT, [&] { server.shut_down(); });
+  const auto reload = loop.on_signal(SIGHUP, [&] {
+    auto again = parse_settings("pollenloft-controld [settings]",
+                                known_settings, argc, argv);
+    const auto* changed = std::get_if<settings>(&again);
+    log_event(log_level::info, "settings.reloaded",
+              {{"sound", changed != nullptr}});
+    if (changed != nullptr) server.set_seeds(changed->plain_list("seeds"));
+  });
   loop.run();
   return server.failed() ? 1 : 0;
 }
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -4,6 +4,7 @@
 #include <time.h>
 #include <xxhash.h>
 
+#include <array>
 #include <charconv>
 
 namespace pollenloft {
@@ -67,6 +68,20 @@
   return value;
 }
 
+auto ipv4_number(const std::string& host) -> std::uint32_t {
+  in_addr parsed{};
+  if (inet_pton(AF_INET, host.c_str(), &parsed) != 1) return 0;
+  return ntohl(parsed.s_addr);
+}
+
+auto ipv4_text(std::uint32_t number) -> std::string {
+  in_addr address{};
+  address.s_addr = htonl(number);
+  std::array<char, INET_ADDRSTRLEN> text{};
+  inet_ntop(AF_INET, &address, text.data(), text.size());
+  return text.data();
+}
+
 auto parse_socket_address(std::string_view text)
     -> std::optional<socket_address> {
   const auto colon = text.rfind(':');
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -44,9 +44,10 @@
       client_(loop_),
       server_(loop_, http_limits{},
               [this](const exchange_ptr& call) { route(call); }),
-      control_(loop_, client_,
-               {options_.vm, incarnation_, options_.zone,
-                options_.listen.text(), options_.control}),
+      control_(
+          loop_, client_,
+          {options_.vm, incarnation_, options_.zone, options_.listen.text(),
+           options_.control, options_.document_freshness}),
       owner_(options_.vm, options_.listen.text()),
       router_(options_.routing, options_.seed) {
   control_.config_changed.connect([this] { apply_config(); });
@@ -487,7 +488,8 @@
     phase_ = drain_phase::refusing;
     server_.close_listener();
     drain_timer_ = loop_.every(tick_period, [this] {
-      if (!requests_.empty() || control_.unsettled() > 0) return;
+      const auto others = other_requests_ ? other_requests_() : 0;
+      if (!requests_.empty() || others > 0 || control_.unsettled() > 0) return;
       log_event(log_level::info, "drain.finished", {});
       loop_.stop();
     });
@@ -502,6 +504,7 @@
     open.push_back(request);
   for (const auto& request : open)
     request->step(request_event::deadline);
+  ending.emit();
   drain_timer_ = loop_.after(flush_time, [this] { loop_.stop(); });
 }
 
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -18,6 +18,7 @@
   std::string zone;
   socket_address listen;
   std::vector<socket_address> control;
+  duration document_freshness = std::chrono::seconds(4);
   route_options routing;
   milliseconds drain_notice{1000};  ///< not ready, but still serving
   milliseconds grace{30000};        ///< then open requests are ended
@@ -33,6 +34,13 @@
   auto start() -> std::optional<bool>;
   /// Drains and stops the loop; a second call ends open requests at once.
   auto shut_down() -> void;
+  auto request_plan() const -> const chart& { return chart_; }
+  /// Requests open on another front of this VM, which shutdown waits for.
+  auto set_other_requests(sigc::slot<std::size_t()> count) -> void {
+    other_requests_ = std::move(count);
+  }
+  /// Shutdown ends open requests now.
+  sigc::signal<void()> ending;
 
   auto loop() -> event_loop& override { return loop_; }
   auto client() -> http_client& override { return client_; }
@@ -118,6 +126,7 @@
   std::map<std::string, double> usage_rate_;  // tokens a second
   instant shared_at_{};
   std::set<std::string> over_share_;
+  sigc::slot<std::size_t()> other_requests_;
 };
 
 }  // namespace pollenloft
--- a/src/entryd.cpp
+++ b/src/entryd.cpp
@@ -5,6 +5,7 @@
 #include <iostream>
 
 #include "entry_server.hpp"
+#include "front_server.hpp"
 #include "pollenloft/settings.hpp"
 
 namespace pollenloft {
@@ -15,6 +16,19 @@
     {"zone", "", nonempty_text{}, "availability zone of this VM"},
     {"listen", "", one_address{}, "address to serve on"},
     {"control", "", address_list{}, "control replicas, id=a.b.c.d:port,..."},
+    {"seeds", "", plain_addresses{},
+     "in place of --control: VMs whose control replicas listen on the port "
+     "of --listen"},
+    {"front", "", optional_address{}, "address of the platform's front"},
+    {"readiness", "", optional_address{},
+     "address that the platform's balancer asks"},
+    {"key-freshness-ms", "4000", number_in{100, 600000},
+     "how long keys are honoured without hearing from control; below the time "
+     "in which a key that was taken away must stop working"},
+    {"retry-percent", "20", number_in{0, 1000},
+     "second sends for each hundred requests of a service"},
+    {"retry-slack", "50", number_in{0, 1000000},
+     "second sends beyond that, over all VMs"},
     {"charts", "charts", nonempty_text{}, "folder with the state charts"},
     {"policy", "predicted",
      one_of{{"predicted", "least-outstanding", "round-robin"}},
@@ -32,13 +46,38 @@
     {"log-level", "info", one_of{{"debug", "info", "warning", "error"}},
      "lowest level written"}};
 
+auto control_replicas(const settings& given) -> std::vector<socket_address> {
+  std::vector<socket_address> replicas;
+  for (const auto& [id, address] : given.addresses("control"))
+    replicas.push_back(address);
+  const auto port = given.address("listen").port;
+  for (const auto& seed : given.plain_list("seeds"))
+    replicas.push_back({seed.host, port});
+  return replicas;
+}
+
+auto make_front_options(const settings& given, std::uint64_t seed)
+    -> front_options {
+  front_options options;
+  options.listen = given.address("front");
+  options.readiness = given.address("readiness");
+  options.zone = given.text("zone");
+  options.seed = seed;
+  options.retry_ratio =
+      static_cast<double>(given.number("retry-percent")) / 100;
+  options.retry_slack = static_cast<double>(given.number("retry-slack"));
+  options.routing.zone = options.zone;
+  options.routing.avoid_mismatch = false;
+  return options;
+}
+
 auto make_options(const settings& given) -> entry_options {
   entry_options options;
   options.vm = given.text("vm");
   options.zone = given.text("zone");
   options.listen = given.address("listen");
-  for (const auto& [id, address] : given.addresses("control"))
-    options.control.push_back(address);
+  options.control = control_replicas(given);
+  options.document_freshness = given.millis("key-freshness-ms");
   options.routing.policy = *parse_policy(given.text("policy"));
   options.drain_notice = given.millis("drain-notice-ms");
   options.grace = given.millis("grace-ms");
@@ -57,9 +96,14 @@
                                argc, argv);
   if (auto* code = std::get_if<int>(&parsed)) return *code;
   const auto& given = std::get<settings>(parsed);
-  if (given.addresses("control").empty()) {
-    std::cerr
-        << "setting=control value=\"\" allowed=\"at least one replica\"\n";
+  if (control_replicas(given).empty()) {
+    std::cerr << "setting=control value=\"\" allowed=\"at least one replica, "
+                 "or --seeds\"\n";
+    return 2;
+  }
+  if (given.text("front").empty() != given.text("readiness").empty()) {
+    std::cerr << "setting=readiness value=\"" << given.text("readiness")
+              << "\" allowed=\"an address if and only if --front has one\"\n";
     return 2;
   }
   start_logging("entryd-" + given.text("vm"), given.text("log-level"));
@@ -70,14 +114,36 @@
     return 1;
   }
   event_loop loop;
-  entry_server server(loop, make_options(given), std::move(*plan));
-  if (!server.start()) {
+  const auto options = make_options(given);
+  entry_server server(loop, options, std::move(*plan));
+  std::optional<front_server> front;
+  if (!given.text("front").empty()) {
+    front.emplace(loop, make_front_options(given, options.seed),
+                  server.client(), server.control(), server.request_plan(),
+                  server.numbers());
+    server.set_other_requests([&front] { return front->open_requests(); });
+    server.ending.connect([&front] { front->end_open_requests(); });
+  }
+  if ((front && !front->start()) || !server.start()) {
     log_failure("start.failed", last_error());
     return 1;
   }
   log_event(log_level::info, "started", {{"listen", given.text("listen")}});
-  const auto terminate = loop.on_signal(SIGTERM, [&] { server.shut_down(); });
-  const auto interrupt = loop.on_signal(SIGINT, [&] { server.shut_down(); });
+  const auto shut_down = [&] {
+    if (front) front->drain();
+    server.shut_down();
+  };
+  const auto terminate = loop.on_signal(SIGTERM, shut_down);
+  const auto interrupt = loop.on_signal(SIGINT, shut_down);
+  const auto reload = loop.on_signal(SIGHUP, [&] {
+    auto again = parse_settings("pollenloft-entryd [settings]", known_settings,
+                                argc, argv);
+    const auto* changed = std::get_if<settings>(&again);
+    log_event(log_level::info, "settings.reloaded",
+              {{"sound", changed != nullptr}});
+    if (changed != nullptr)
+      server.control().set_seeds(control_replicas(*changed));
+  });
   loop.run();
   return 0;
 }
--- /dev/null
+++ b/src/front_server.hpp
@@ -0,0 +1,95 @@
+/// \file front_server.hpp
+/// The platform's front of an entry VM: takes callers' requests, chooses
+/// service and endpoints, queues and refuses.
+#ifndef POLLENLOFT_FRONT_SERVER_HPP
+#define POLLENLOFT_FRONT_SERVER_HPP
+
+#include <map>
+#include <string>
+#include <unordered_map>
+
+#include "control_client.hpp"
+#include "front_request.hpp"
+
+namespace pollenloft {
+
+struct front_options {
+  socket_address listen;
+  socket_address readiness;
+  std::string zone;
+  route_options routing;
+  std::uint64_t seed = 1;
+  double retry_ratio = 0.2;  ///< second sends for each request
+  double retry_slack = 50;   ///< and so many more, over all entry VMs
+  std::size_t most_queued = 500;
+};
+
+class front_server : public front_host {
+ public:
+  front_server(event_loop& loop, front_options options, http_client& client,
+               control_client& control, const chart& request_chart,
+               metrics& numbers);
+
+  auto start() -> std::optional<bool>;
+  /// Shows not ready; requests are still served.
+  auto drain() -> void;
+  auto open_requests() const -> std::size_t { return requests_.size(); }
+  /// Ends what is still open with a final answer.
+  auto end_open_requests() -> void;
+
+  auto loop() -> event_loop& override { return loop_; }
+  auto client() -> http_client& override { return client_; }
+  auto numbers() -> metrics& override { return metrics_; }
+  auto routes() -> router& override { return router_; }
+  auto draining() const -> bool override { return draining_; }
+  auto enqueue(const front_request_ptr& request, bool again) -> void override;
+  auto dequeue(const front_request_ptr& request) -> void override;
+  auto place_freed(const front_request_ptr& request, double cost)
+      -> void override;
+  auto request_ended(const front_request_ptr& request) -> void override;
+
+ private:
+  auto take(const exchange_ptr& call) -> void;
+  auto show_ready(const exchange_ptr& call) -> void;
+  auto ready() const -> bool;
+  auto refuse(const exchange_ptr& call, int status, const std::string& reason)
+      -> void;
+  auto begin(const exchange_ptr& call, front_parameters given) -> void;
+  /// The request may still run under the newest document known here.
+  auto still_allowed(const front_request& request) const -> bool;
+  auto apply_document() -> void;
+  auto apply_endpoints(const std::vector<wire::endpoint_record>& records,
+                       bool whole) -> void;
+  auto apply_record(const wire::endpoint_record& record) -> void;
+  auto displaced(const wire::endpoint_record& record) const -> bool;
+  auto queue_of(const std::string& service) -> fair_queue&;
+  auto schedule_pump() -> void;
+  auto pump() -> void;
+  auto pump_queue(fair_queue& queue, instant now) -> void;
+  auto refuse_overdue(instant now) -> void;
+  auto tick() -> void;
+
+  event_loop& loop_;
+  front_options options_;
+  http_client& client_;
+  control_client& control_;
+  const chart& chart_;
+  metrics& metrics_;
+  http_server server_;
+  http_server readiness_;
+  router router_;
+  random_source random_;
+  std::map<std::string, retry_budget> budgets_;  // by service
+  std::shared_ptr<const route_table> table_;
+  std::map<std::string, wire::endpoint_record> directory_;
+  std::map<std::string, fair_queue> queues_;
+  std::unordered_map<request_id, front_request_ptr> requests_;
+  request_id next_request_ = 0;
+  timer ticker_;
+  bool pump_posted_ = false;
+  bool draining_ = false;
+};
+
+}  // namespace pollenloft
+
+#endif
--- /dev/null
+++ b/src/layer_placer.cpp
@@ -0,0 +1,209 @@
+#include "layer_placer.hpp"
+
+#include "pollenloft/telemetry.hpp"
+
+namespace pollenloft {
+
+namespace {
+
+/// Runners start within moments of each other; a first plan made before most
+/// of them are known would have to be undone.
+constexpr auto settle_time = milliseconds(1500);
+/// A state call costs a runner little, but 2,500 runners add up.
+constexpr auto look_period = milliseconds(1000);
+constexpr auto look_period_busy = milliseconds(250);
+/// Two lost states in a row are a dead runner more often than a lost packet.
+constexpr int misses_to_lose = 2;
+/// An order whose effect does not show after this is given again.
+constexpr auto order_patience = std::chrono::seconds(8);
+
+}  // namespace
+
+auto layer_placer::start_term(std::int64_t term) -> void {
+  term_ = term;
+  fenced_ = false;
+  runners_.clear();
+  first_seen_.clear();
+  seen_count_.clear();
+}
+
+auto layer_placer::usable(const wire::endpoint_record& record) const -> bool {
+  if (record.state != static_cast<std::int8_t>(endpoint_state::up))
+    return false;
+  const auto found = runners_.find(record.id);
+  return !record.silent && found != runners_.end() &&
+         found->second.state.has_value() &&
+         found->second.misses < misses_to_lose;
+}
+
+auto layer_placer::tick(const ingress_config& config, instant now) -> void {
+  if (fenced_) return;
+  for (const auto& [name, service] : config.services)
+    if (service.engine) tick_service(service, now);
+}
+
+auto layer_placer::to_placed(const wire::endpoint_record& record,
+                             const engine_profile& engine) const
+    -> placed_runner {
+  const auto& book = runners_.at(record.id);
+  placed_runner placed;
+  placed.id = record.id;
+  placed.zone = record.zone;
+  const auto kind = engine.accelerators.find(record.kind);
+  if (kind != engine.accelerators.end()) placed.kind = kind->second;
+  placed.held = {book.state->first_layer, book.state->last_layer};
+  if (book.wanted) placed.held = *book.wanted;
+  placed.busy = book.wanted.has_value() || book.ordering || book.state->busy;
+  return placed;
+}
+
+auto layer_placer::tick_service(const ingress_service& service, instant now)
+    -> void {
+  std::vector<placed_runner> placed;
+  std::size_t known = 0;
+  for (const auto& [id, record] : directory_.records()) {
+    if (record.pipeline != service.name || record.kind.empty()) continue;
+    if (record.state != static_cast<std::int8_t>(endpoint_state::up)) continue;
+    ++known;
+    look_at(record, now);
+    if (usable(record)) placed.push_back(to_placed(record, *service.engine));
+  }
+  auto& count = seen_count_[service.name];
+  auto& since = first_seen_[service.name];
+  if (known > count) since = now;
+  count = known;
+  if (placed.empty() || now - since < settle_time) return;
+  const auto empty =
+      std::all_of(placed.begin(), placed.end(),
+                  [](const auto& runner) { return runner.held.empty(); });
+  const auto plan = empty ? plan_first(*service.engine, placed, {})
+                          : plan_repair(*service.engine, placed, {});
+  for (const auto& [id, span] : plan)
+    order(directory_.records().at(id), span, now);
+}
+
+auto layer_placer::look_at(const wire::endpoint_record& record, instant now)
+    -> void {
+  auto& book = runners_[record.id];
+  if (book.incarnation != record.incarnation) {
+    book = runner_book{};
+    book.incarnation = record.incarnation;
+  }
+  const auto period = book.wanted ? look_period_busy : look_period;
+  if (book.asking || now - book.asked < period) return;
+  const auto address = parse_socket_address(record.address);
+  if (!address) return;
+  book.asking = true;
+  book.asked = now;
+  client_.send(
+      platform::state_call(*address),
+      {{},
+       {},
+       [this, alive = alive_, id = record.id](const auto& result, auto body) {
+         if (*alive) take_state(id, result, body);
+       }});
+}
+
+auto layer_placer::take_state(const std::string& id, const call_result& result,
+                              std::string_view body) -> void {
+  const auto found = runners_.find(id);
+  if (found == runners_.end()) return;
+  auto& book = found->second;
+  book.asking = false;
+  const auto* answered = std::get_if<call_answered>(&result);
+  auto state = answered != nullptr && answered->status == 200
+                   ? platform::decode_runner_state(body)
+                   : std::nullopt;
+  if (!state) {
+    if (++book.misses == misses_to_lose)
+      log_event(log_level::warning, "runner.unreachable", {{"endpoint", id}});
+    return;
+  }
+  if (book.misses >= misses_to_lose)
+    log_event(log_level::info, "runner.reachable", {{"endpoint", id}});
+  book.misses = 0;
+  book.state = state;
+  const layer_span held{state->first_layer, state->last_layer};
+  if (book.wanted && !book.ordering) {
+    const auto overdue = boottime_clock::now() - book.ordered > order_patience;
+    if (held == *book.wanted && !state->busy) book.wanted.reset();
+    if (overdue) book.wanted.reset();
+  }
+  note_layers(id, held);
+}
+
+/// Routing sees a layer only while the runner has it and is to keep it.
+auto layer_placer::note_layers(const std::string& id, layer_span span) -> void {
+  const auto found = directory_.records().find(id);
+  if (found == directory_.records().end()) return;
+  const auto& book = runners_[id];
+  if (book.wanted) {
+    span.from = std::max(span.from, book.wanted->from);
+    span.to = std::max(span.from, std::min(span.to, book.wanted->to));
+  }
+  if (directory_.set_layers(id, span.from, span.to)) changed.emit();
+}
+
+auto layer_placer::order(const wire::endpoint_record& record, layer_span span,
+                         instant now) -> void {
+  auto& book = runners_[record.id];
+  const auto address = parse_socket_address(record.address);
+  if (!address || book.ordering) return;
+  book.ordering = true;
+  book.ordered = now;
+  book.wanted = span;
+  const auto id = record.id;
+  note_layers(id, {book.state->first_layer, book.state->last_layer});
+  log_event(log_level::info, "layers.ordered",
+            {{"endpoint", id},
+             {"from", span.from},
+             {"to", span.to},
+             {"held_from", book.state->first_layer},
+             {"held_to", book.state->last_layer},
+             {"sequence", book.state->sequence},
+             {"term", term_}});
+  const platform::layer_order wanted{span.from, span.to, term_,
+                                     book.state->sequence};
+  client_.send(
+      platform::encode_layer_order(*address, wanted),
+      {{},
+       {},
+       [this, alive = alive_, id, span](const auto& result, auto /*body*/) {
+         if (*alive) take_order(id, span, result);
+       }});
+}
+
+auto layer_placer::take_order(const std::string& id, layer_span span,
+                              const call_result& result) -> void {
+  const auto found = runners_.find(id);
+  if (found == runners_.end()) return;
+  auto& book = found->second;
+  book.ordering = false;
+  book.asked = {};
+  const auto* answered = std::get_if<call_answered>(&result);
+  // Without an answer the order may be carried out later: the state tells.
+  if (answered == nullptr) {
+    log_event(log_level::warning, "layers.order_unanswered",
+              {{"endpoint", id}});
+    return;
+  }
+  switch (platform::read_order_result(answered->status)) {
+    case platform::order_result::begun:
+    case platform::order_result::done:
+      return;
+    case platform::order_result::fenced:
+      fenced_ = true;
+      log_event(log_level::warning, "layers.fenced",
+                {{"endpoint", id}, {"term", term_}});
+      return;
+    default:
+      book.wanted.reset();
+      log_event(log_level::warning, "layers.order_refused",
+                {{"endpoint", id},
+                 {"status", answered->status},
+                 {"from", span.from},
+                 {"to", span.to}});
+  }
+}
+
+}  // namespace pollenloft
--- /dev/null
+++ b/src/layer_placer.hpp
@@ -0,0 +1,68 @@
+/// \file layer_placer.hpp
+/// The leader's hands on the runners: reads their state, orders layers.
+#ifndef POLLENLOFT_LAYER_PLACER_HPP
+#define POLLENLOFT_LAYER_PLACER_HPP
+
+#include <map>
+#include <string>
+
+#include "platform/platform.hpp"
+#include "pollenloft/control.hpp"
+#include "pollenloft/placement.hpp"
+
+namespace pollenloft {
+
+class layer_placer {
+ public:
+  layer_placer(event_loop& loop, http_client& client,
+               endpoint_directory& directory)
+      : loop_(loop), client_(client), directory_(directory) {}
+
+  /// This replica leads with a new term, which fences all orders of earlier
+  /// leaders.
+  auto start_term(std::int64_t term) -> void;
+  /// Looks after the runners of all services; called often while leading.
+  auto tick(const ingress_config& config, instant now) -> void;
+
+  /// Emitted when a record of the directory was changed.
+  sigc::signal<void()> changed;
+
+ private:
+  struct runner_book {
+    std::string incarnation;
+    std::optional<platform::runner_state> state;
+    instant asked{};
+    bool asking = false;
+    bool ordering = false;
+    int misses = 0;  // states that did not come, in a row
+    std::optional<layer_span> wanted;
+    instant ordered{};
+  };
+
+  auto tick_service(const ingress_service& service, instant now) -> void;
+  auto look_at(const wire::endpoint_record& record, instant now) -> void;
+  auto take_state(const std::string& id, const call_result& result,
+                  std::string_view body) -> void;
+  auto order(const wire::endpoint_record& record, layer_span span, instant now)
+      -> void;
+  auto take_order(const std::string& id, layer_span span,
+                  const call_result& result) -> void;
+  auto note_layers(const std::string& id, layer_span span) -> void;
+  auto usable(const wire::endpoint_record& record) const -> bool;
+  auto to_placed(const wire::endpoint_record& record,
+                 const engine_profile& engine) const -> placed_runner;
+
+  event_loop& loop_;
+  http_client& client_;
+  endpoint_directory& directory_;
+  std::int64_t term_ = 0;
+  bool fenced_ = false;
+  std::map<std::string, runner_book> runners_;
+  std::map<std::string, instant> first_seen_;  // of a service's runners
+  std::map<std::string, std::size_t> seen_count_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace pollenloft
+
+#endif
--- a/src/net.cpp
+++ b/src/net.cpp
@@ -5,8 +5,10 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
 #include <signal.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <cstring>
@@ -381,6 +383,7 @@
   std::string peer;
   std::string step;
   timer deadline;
+  timer connecting;
   evhttp_request_error failure = EVREQ_HTTP_TIMEOUT;
   bool done = false;
   bool reusable = false;
@@ -395,6 +398,7 @@
     if (!self) return;
     done = true;
     deadline = timer();
+    connecting = timer();
     // evhttp still uses the connection while its callback runs.
     loop.post([held = std::move(self), keep] {
       if (keep)
@@ -414,10 +418,24 @@
     if (on_done) on_done(result, body);
   }
 
+  auto connected() const -> bool {
+    auto* stream = evhttp_connection_get_bufferevent(connection);
+    sockaddr_in other{};
+    socklen_t size = sizeof other;
+    return getpeername(bufferevent_getfd(stream),
+                       reinterpret_cast<sockaddr*>(&other),  // NOLINT
+                       &size) == 0;
+  }
+
   auto expire() -> void {
     finish(call_broken{{step, peer, "timed out"}}, {}, false);
   }
 
+  auto expire_connecting() -> void {
+    if (connected()) return;
+    finish(call_unsent{{step, peer, "connection timed out"}}, {}, false);
+  }
+
   static auto on_error(evhttp_request_error what, void* arg) -> void {
     static_cast<impl*>(arg)->failure = what;
   }
@@ -559,12 +577,16 @@
   if (state->handlers.on_data)
     evhttp_request_set_chunked_cb(handle, &conversation::impl::on_chunk);
   auto* output = evhttp_request_get_output_headers(handle);
-  evhttp_add_header(output, "Host", call.peer.host.c_str());
+  if (!call.headers.find("Host"))
+    evhttp_add_header(output, "Host", call.peer.host.c_str());
   if (!call.keep_alive) evhttp_add_header(output, "Connection", "close");
   write_headers(output, call.headers);
   evbuffer_add(evhttp_request_get_output_buffer(handle), call.body.data(),
                call.body.size());
   state->deadline = impl_->loop.after(call.timeout, [raw] { raw->expire(); });
+  if (call.connect_timeout < call.timeout)
+    state->connecting = impl_->loop.after(call.connect_timeout,
+                                          [raw] { raw->expire_connecting(); });
   evhttp_make_request(state->connection, handle, method_code(call.method),
                       call.target.c_str());
   return std::make_shared<conversation>(state);
--- /dev/null
+++ b/src/placement.cpp
@@ -0,0 +1,215 @@
+#include "pollenloft/placement.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+
+namespace pollenloft {
+
+namespace {
+
+constexpr double bytes_per_mb = 1e6;
+
+using runner_list = std::vector<const placed_runner*>;
+
+auto by_zone(const std::vector<placed_runner>& runners)
+    -> std::map<std::string, runner_list> {
+  std::map<std::string, runner_list> zones;
+  for (const auto& runner : runners)
+    zones[runner.zone].push_back(&runner);
+  return zones;
+}
+
+/// Fastest first; equal ones by id, so that every leader decides alike.
+auto sort_by_speed(runner_list& runners) -> void {
+  std::sort(runners.begin(), runners.end(), [](const auto* a, const auto* b) {
+    if (a->kind.step_factor != b->kind.step_factor)
+      return a->kind.step_factor < b->kind.step_factor;
+    return a->id < b->id;
+  });
+}
+
+auto capacity(const engine_profile& engine, const runner_list& runners,
+              double tokens) -> std::int32_t {
+  std::int32_t sum = 0;
+  for (const auto* runner : runners)
+    sum += most_layers(engine, runner->kind, tokens);
+  return sum;
+}
+
+/// Most tokens for which the runners still hold every layer.
+auto tokens_for(const engine_profile& engine, const runner_list& runners,
+                const placement_options& options) -> double {
+  auto tokens = options.most_tokens;
+  while (tokens > 0 && capacity(engine, runners, tokens) < engine.layers)
+    tokens -= options.token_step;
+  return std::max(tokens, 0.0);
+}
+
+/// How many runners of a list hold each layer.
+auto holders(const engine_profile& engine, const runner_list& runners)
+    -> std::vector<int> {
+  std::vector<int> count(static_cast<std::size_t>(engine.layers), 0);
+  for (const auto* runner : runners)
+    for (auto layer = runner->held.from;
+         layer < std::min(runner->held.to, engine.layers); ++layer)
+      ++count[static_cast<std::size_t>(layer)];
+  return count;
+}
+
+/// The first run of layers held by exactly `least` runners, where `least` is
+/// the lowest count of all.
+auto weakest_span(const std::vector<int>& count) -> layer_span {
+  const auto least = *std::min_element(count.begin(), count.end());
+  const auto first = std::find(count.begin(), count.end(), least);
+  const auto last =
+      std::find_if(first, count.end(), [&](int n) { return n != least; });
+  return {static_cast<std::int32_t>(first - count.begin()),
+          static_cast<std::int32_t>(last - count.begin())};
+}
+
+auto missing(const std::vector<int>& count) -> bool {
+  return std::find(count.begin(), count.end(), 0) != count.end();
+}
+
+/// Every layer of the runner is held by another one of the zone, too.
+auto redundant(const placed_runner& runner, const std::vector<int>& count)
+    -> bool {
+  for (auto layer = runner.held.from; layer < runner.held.to; ++layer)
+    if (count[static_cast<std::size_t>(layer)] < 2) return false;
+  return true;
+}
+
+class zone_repair {
+ public:
+  zone_repair(const engine_profile& engine, runner_list runners,
+              const placement_options& options)
+      : engine_(engine), options_(options), runners_(std::move(runners)) {
+    sort_by_speed(runners_);
+    count_ = holders(engine_, runners_);
+    tokens_ = std::max(options_.least_tokens,
+                       tokens_for(engine_, runners_, options_));
+  }
+
+  auto plan() -> layer_plan {
+    while (missing(count_))
+      if (!use_idle() && !use_redundant() && !use_neighbour()) break;
+    // Runners that hold nothing double what is held least.
+    if (!missing(count_))
+      while (use_idle()) {
+      }
+    return std::move(changes_);
+  }
+
+ private:
+  auto free(const placed_runner& runner) const -> bool {
+    return !runner.busy && changes_.count(runner.id) == 0;
+  }
+
+  /// Gives the runner the first layers of the weakest span.
+  auto assign(const placed_runner& runner) -> bool {
+    const auto span = weakest_span(count_);
+    const auto most = most_layers(engine_, runner.kind, tokens_);
+    const layer_span given{span.from, std::min(span.to, span.from + most)};
+    return change(runner, given);
+  }
+
+  auto change(const placed_runner& runner, layer_span given) -> bool {
+    if (given.empty() || given == runner.held) return false;
+    for (auto layer = runner.held.from; layer < runner.held.to; ++layer)
+      --count_[static_cast<std::size_t>(layer)];
+    for (auto layer = given.from; layer < given.to; ++layer)
+      ++count_[static_cast<std::size_t>(layer)];
+    changes_[runner.id] = given;
+    return true;
+  }
+
+  auto use_idle() -> bool {
+    for (const auto* runner : runners_)
+      if (runner->held.empty() && free(*runner) && assign(*runner)) return true;
+    return false;
+  }
+
+  auto use_redundant() -> bool {
+    for (const auto* runner : runners_)
+      if (!runner->held.empty() && free(*runner) &&
+          redundant(*runner, count_) && assign(*runner))
+        return true;
+    return false;
+  }
+
+  /// Extends the holders beside the gap, in less room for requests.
+  auto use_neighbour() -> bool {
+    const auto gap = weakest_span(count_);
+    for (const auto* runner : runners_) {
+      if (!free(*runner) || runner->held.empty()) continue;
+      const auto most =
+          most_layers(engine_, runner->kind, options_.least_tokens);
+      const auto room = most - runner->held.size();
+      if (room <= 0) continue;
+      auto given = runner->held;
+      if (given.to == gap.from)
+        given.to += std::min(room, gap.size());
+      else if (given.from == gap.to)
+        given.from -= std::min(room, gap.size());
+      else
+        continue;
+      if (change(*runner, given)) return true;
+    }
+    return false;
+  }
+
+  const engine_profile& engine_;
+  const placement_options& options_;
+  runner_list runners_;
+  std::vector<int> count_;
+  double tokens_ = 0;
+  layer_plan changes_;
+};
+
+/// One copy over the fastest runners, then second copies from layer 0 on.
+auto plan_zone(const engine_profile& engine, runner_list runners,
+               const placement_options& options, layer_plan& plan) -> void {
+  sort_by_speed(runners);
+  const auto tokens =
+      std::max(options.least_tokens, tokens_for(engine, runners, options));
+  std::int32_t next = 0;
+  for (const auto* runner : runners) {
+    const auto most = most_layers(engine, runner->kind, tokens);
+    if (most == 0) continue;
+    if (next >= engine.layers) next = 0;
+    const layer_span span{next, std::min(next + most, engine.layers)};
+    plan[runner->id] = span;
+    next = span.to;
+  }
+}
+
+}  // namespace
+
+auto most_layers(const engine_profile& engine, const accelerator& kind,
+                 double tokens) -> std::int32_t {
+  const auto cache_mb =
+      tokens * engine.cache_bytes / engine.layers / bytes_per_mb;
+  const auto most = std::floor(kind.memory_mb / (engine.layer_mb + cache_mb));
+  return std::min(engine.layers, static_cast<std::int32_t>(most));
+}
+
+auto plan_first(const engine_profile& engine,
+                const std::vector<placed_runner>& runners,
+                const placement_options& options) -> layer_plan {
+  layer_plan plan;
+  for (auto& [zone, list] : by_zone(runners))
+    plan_zone(engine, list, options, plan);
+  return plan;
+}
+
+auto plan_repair(const engine_profile& engine,
+                 const std::vector<placed_runner>& runners,
+                 const placement_options& options) -> layer_plan {
+  layer_plan plan;
+  for (auto& [zone, list] : by_zone(runners))
+    plan.merge(zone_repair(engine, list, options).plan());
+  return plan;
+}
+
+}  // namespace pollenloft
--- a/src/replica.cpp
+++ b/src/replica.cpp
@@ -10,8 +10,10 @@
 
 auto encode_members(const std::vector<replica_id>& members) -> std::string {
   std::string text;
-  for (auto id : members)
-    text += (text.empty() ? "" : ",") + std::to_string(id);
+  for (auto id : members) {
+    if (!text.empty()) text += ',';
+    text += std::to_string(id);
+  }
   return text;
 }
 
@@ -80,6 +82,15 @@
   return std::find(members_.begin(), members_.end(), id) != members_.end();
 }
 
+auto replica::copies_needed() const -> std::size_t {
+  return std::max(majority(), std::min(options_.least_copies, members_.size()));
+}
+
+auto replica::last_heard(replica_id id) const -> std::optional<instant> {
+  const auto found = progress_.find(id);
+  return found == progress_.end() ? std::nullopt : found->second.heard;
+}
+
 auto replica::established() const -> bool {
   return role_ == replica_role::leader && term_at(commit_) == hard_.term;
 }
@@ -187,7 +198,8 @@
   heartbeat_due_ = now + options_.heartbeat;
   for (auto id : members_)
     if (id != options_.id) send(id, recover_request{nonce_});
-  if (members_.size() > 1) return;
+  if (members_.size() > 1 || !options_.may_form || !is_member(options_.id))
+    return;
   hard_.voting = true;
   mark_hard();
   role_ = replica_role::follower;
@@ -305,7 +317,7 @@
   for (auto id : members_)
     matches.push_back(id == options_.id ? last_index() : progress_[id].match);
   std::sort(matches.rbegin(), matches.rend());
-  const auto index = matches[majority() - 1];
+  const auto index = matches[copies_needed() - 1];
   if (index > commit_ && term_at(index) == hard_.term) commit_to(index);
 }
 
@@ -421,6 +433,7 @@
   if (found == progress_.end()) return;
   auto& peer = found->second;
   peer.acked_round = std::max(peer.acked_round, reply.round);
+  peer.heard = now;
   confirmed_ = quorum_heard_at(now);
   peer.in_flight = false;
   if (!reply.matched) {
@@ -462,7 +475,7 @@
   const auto fresh = hard_.term == 0 && last_index() == 0;
   // A replica that is itself recovering can vouch for nothing but emptiness.
   if (!hard_.voting && !fresh) return;
-  send(message.from, recover_reply{request.nonce, fresh});
+  send(message.from, recover_reply{request.nonce, fresh, members_, commit_});
 }
 
 auto replica::on(const recover_reply& reply, const replica_message& message,
@@ -470,15 +483,18 @@
   if (role_ != replica_role::recovering || reply.nonce != nonce_) return;
   recovery_replies_[message.from] = reply;
   recovery_terms_[message.from] = message.term;
+  adopt_known_members();
   std::size_t known = 0;
   std::size_t fresh = 0;
   log_term highest = 0;
   for (const auto& [id, answer] : recovery_replies_) {
+    if (!is_member(id)) continue;
     fresh += answer.fresh ? 1 : 0;
     known += answer.fresh ? 0 : 1;
     highest = std::max(highest, recovery_terms_[id]);
   }
-  if (fresh + 1 == members_.size()) {
+  if (options_.may_form && is_member(options_.id) &&
+      fresh + 1 == members_.size()) {
     hard_.voting = true;  // every disk is empty: a new system
     mark_hard();
     role_ = replica_role::follower;
@@ -491,6 +507,16 @@
   reset_election(now);
 }
 
+/// The members set up may be outdated; the replica that knows most tells the
+/// present ones.
+auto replica::adopt_known_members() -> void {
+  const recover_reply* best = nullptr;
+  for (const auto& [id, reply] : recovery_replies_)
+    if (!reply.fresh && (best == nullptr || reply.commit > best->commit))
+      best = &reply;
+  if (best != nullptr && !best->members.empty()) members_ = best->members;
+}
+
 auto replica::finish_recovery(log_index leader_last) -> void {
   if (hard_.voting || last_index() < leader_last) return;
   hard_.voting = true;
--- a/src/route.cpp
+++ b/src/route.cpp
@@ -78,6 +78,8 @@
 
   auto layer_time(const endpoint_entry& entry) const -> duration {
     if (entry.layer_time != duration::zero()) return entry.layer_time;
+    if (entry.view->layer_time != duration::zero())
+      return entry.view->layer_time;
     const auto found = kind_time.find(entry.view->kind);
     return found == kind_time.end() ? duration(default_layer_time)
                                     : found->second;
@@ -89,7 +91,7 @@
     if (slow != slow_links.end()) return slow->second;
     const auto zone = zone_links.find({from.zone, to.zone});
     if (zone != zone_links.end()) return zone->second;
-    return from.zone == to.zone ? duration::zero() : duration(milliseconds(1));
+    return from.zone == to.zone ? duration::zero() : options.zone_link_time;
   }
 
   auto others(const endpoint_entry& entry, instant now) const -> double {
@@ -133,6 +135,7 @@
   auto mismatch_cost(const endpoint_entry& from, const endpoint_entry& to,
                      std::int32_t layers, instant now) const -> double {
     if (!std::holds_alternative<policy_predicted>(options.policy)) return 0;
+    if (!options.avoid_mismatch) return 0;
     const auto apart = std::abs(seconds(layer_time(from) - layer_time(to)));
     return load(to, now) * apart * layers;
   }
@@ -164,6 +167,9 @@
               instant now) const -> partial_chain {
     auto longer = head;
     longer.cost += cost(*entry, layers.second - layers.first, now);
+    if (head.stages.empty() && !options.zone.empty() &&
+        entry->view->zone != options.zone)
+      longer.cost += seconds(options.zone_link_time);
     if (!head.stages.empty()) {
       const auto& last = *head.stages.back().first;
       longer.cost +=
@@ -299,7 +305,8 @@
     const auto same = known.incarnation == endpoint.incarnation &&
                       known.first_layer == endpoint.first_layer &&
                       known.last_layer == endpoint.last_layer &&
-                      known.pipeline == endpoint.pipeline;
+                      known.pipeline == endpoint.pipeline &&
+                      known.address == endpoint.address;
     if (same) return;
     remove(endpoint.id);
   }
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,6 +1,7 @@
 #include "pollenloft/settings.hpp"
 
 #include <boost/program_options.hpp>
+#include <fstream>
 #include <iostream>
 #include <sstream>
 
@@ -11,6 +12,7 @@
 namespace po = boost::program_options;
 constexpr auto version = "pollenloft 0.1.0";
 constexpr auto environment_prefix = "POLLENLOFT_";
+constexpr auto file_setting = "settings";
 
 auto split(const std::string& text, char separator)
     -> std::vector<std::string> {
@@ -34,6 +36,17 @@
   return parsed;
 }
 
+auto parse_plain_list(const std::string& text)
+    -> std::optional<std::vector<socket_address>> {
+  std::vector<socket_address> parsed;
+  for (const auto& part : split(text, ',')) {
+    const auto address = parse_socket_address(part);
+    if (!address) return std::nullopt;
+    parsed.push_back(*address);
+  }
+  return parsed;
+}
+
 /// Why `value` is not allowed, or empty.
 auto fault_of(const setting_domain& domain, const std::string& value)
     -> std::string {
@@ -54,6 +67,14 @@
             return std::string(parse_socket_address(value) ? ""
                                                            : "a.b.c.d:port");
           },
+          [&](const optional_address&) {
+            const auto sound = value.empty() || parse_socket_address(value);
+            return std::string(sound ? "" : "a.b.c.d:port or nothing");
+          },
+          [&](const plain_addresses&) {
+            return std::string(parse_plain_list(value) ? ""
+                                                       : "a.b.c.d:port,...");
+          },
           [&](const address_list&) {
             return std::string(
                 parse_address_list(value) ? "" : "id=a.b.c.d:port,...");
@@ -113,6 +134,11 @@
   return *parse_address_list(text(name));
 }
 
+auto settings::plain_list(const std::string& name) const
+    -> std::vector<socket_address> {
+  return *parse_plain_list(text(name));
+}
+
 auto settings::flag(const std::string& name) const -> bool {
   return text(name) == "true";
 }
@@ -123,6 +149,7 @@
   auto add = options.add_options();
   add("help", "show this text");
   add("version", "show the version");
+  add(file_setting, po::value<std::string>(), "file of name = value lines");
   for (const auto& item : known)
     add(item.name.c_str(), po::value<std::string>(), item.help.c_str());
   add("argument", po::value<std::vector<std::string>>(), "");
@@ -145,6 +172,12 @@
                                 return "";
                               }),
         found);
+    if (found.count(file_setting) != 0) {
+      const auto path = found[file_setting].as<std::string>();
+      std::ifstream file(path);
+      if (!file) throw po::error("cannot read the settings file " + path);
+      po::store(po::parse_config_file(file, options), found);
+    }
   } catch (const po::error& bad) {
     std::cerr << "setting=? value=\"\" allowed=\"" << bad.what() << "\"\n";
     return 2;
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -88,11 +88,24 @@
 auto fill(const recover_reply& from, wire::replica_message& to) -> void {
   to.nonce = cast<std::int64_t>(from.nonce);
   to.fresh = from.fresh;
+  for (auto id : from.members)
+    to.members.push_back(cast<std::int32_t>(id));
+  to.commit = cast<std::int64_t>(from.commit);
 }
 
 auto fill(const campaign_request& /*from*/, wire::replica_message& /*to*/)
     -> void {}
 
+auto read_recover(const wire::replica_message& from) -> recover_reply {
+  recover_reply to;
+  to.nonce = cast<std::uint64_t>(from.nonce);
+  to.fresh = from.fresh;
+  for (auto id : from.members)
+    to.members.push_back(cast<replica_id>(id));
+  to.commit = cast<log_index>(from.commit);
+  return to;
+}
+
 auto read_append(wire::replica_message& from) -> append_request {
   append_request to;
   to.prev_index = cast<log_index>(from.prev_index);
@@ -144,7 +157,7 @@
       to.body = recover_request{cast<std::uint64_t>(from.nonce)};
       return to;
     case 6:
-      to.body = recover_reply{cast<std::uint64_t>(from.nonce), from.fresh};
+      to.body = read_recover(from);
       return to;
     case 7:
       to.body = campaign_request{};
@@ -196,5 +209,7 @@
 POLLENLOFT_WIRE_MESSAGE(settle_command)
 POLLENLOFT_WIRE_MESSAGE(settle_reply)
 POLLENLOFT_WIRE_MESSAGE(blame_command)
+POLLENLOFT_WIRE_MESSAGE(directory_share)
+POLLENLOFT_WIRE_MESSAGE(join_request)
 
 }  // namespace pollenloft
--- a/support/pollenloft.thrift
+++ b/support/pollenloft.thrift
@@ -14,7 +14,8 @@
   5: bool pre, 6: bool granted, 7: i64 last_index, 8: i64 last_term,
   9: i64 prev_index, 10: i64 prev_term, 11: i64 commit, 12: i64 leader_last,
   13: i64 round, 14: list<entry> entries, 15: bool matched, 16: i64 index,
-  17: snapshot install, 18: i64 nonce, 19: bool fresh, 20: bool transfer
+  17: snapshot install, 18: i64 nonce, 19: bool fresh, 20: bool transfer,
+  21: list<i32> members
 }
 
 struct message_batch { 1: list<replica_message> messages }
@@ -39,9 +40,13 @@
   1: i64 fingerprint, 2: string endpoint, 3: i64 at_ms, 4: i32 points
 }
 
+// Replaces the routing document if its number is higher.
+struct document_command { 1: i64 number, 2: string text, 3: i64 at_ms }
+
 union command {
   1: patch_command patch, 2: claim_record claim, 3: settle_command settle,
-  4: abandon_command abandon, 5: blame_command blame
+  4: abandon_command abandon, 5: blame_command blame,
+  6: document_command document
 }
 
 struct audit_record {
@@ -57,14 +62,17 @@
 struct control_snapshot {
   1: i64 version, 2: string configuration, 3: list<version_record> tail,
   4: list<patch_result> results, 5: list<audit_record> audit,
-  6: list<claim_record> claims, 7: list<blame_record> blames
+  6: list<claim_record> claims, 7: list<blame_record> blames,
+  8: i64 document, 9: string document_text
 }
 
+// Reports of one incarnation are ordered by `report`; `silent` is set while
+// none has come for several periods.
 struct endpoint_record {
   1: string id, 2: string incarnation, 3: string address, 4: string kind,
   5: string zone, 6: string pipeline, 7: i32 first_layer, 8: i32 last_layer,
   9: i32 slots, 10: i8 state, 11: string owner, 12: i64 sequence,
-  13: bool fencing, 14: i32 token_us
+  13: bool fencing, 14: i32 token_us, 15: i64 report, 16: bool silent
 }
 
 // Tokens a second that an account got, and the cost it has waiting.
@@ -73,14 +81,15 @@
 struct renew_request {
   1: string vm, 2: string incarnation, 3: i64 in_force, 4: i64 term,
   5: i64 directory_sequence, 6: list<account_usage> usage, 7: string zone,
-  8: string address, 9: bool draining, 10: bool first
+  8: string address, 9: bool draining, 10: bool first, 11: i64 document
 }
 struct renew_reply {
   1: bool granted, 2: string leader, 3: i64 lease_ms, 4: i64 term,
   5: i64 version, 6: list<version_record> patches, 7: string configuration,
   8: i64 directory_sequence, 9: bool directory_full,
   10: list<endpoint_record> endpoints, 11: i32 vm_count,
-  12: list<account_usage> usage, 13: list<blame_record> blames
+  12: list<account_usage> usage, 13: list<blame_record> blames,
+  14: i64 document, 15: string document_text, 16: list<string> replicas
 }
 
 // Endpoints that announced themselves to the reporting VM.
@@ -91,3 +100,13 @@
   1: i8 answer, 2: claim_record record, 3: string leader
 }
 struct settle_reply { 1: bool accepted, 2: string leader }
+
+// What control replicas tell each other of endpoints: records that changed,
+// and which endpoints reported since the last message.
+struct heard_endpoint { 1: string id, 2: i32 age_ms }
+struct directory_share {
+  1: list<endpoint_record> records, 2: list<heard_endpoint> heard
+}
+
+// A control VM that is not a member asks to become one.
+struct join_request { 1: i32 id }
