Route by memory and lost runners, not by silence

Now only a runner's own answers count; lost runners lose their layers in the directory at once and requests leave them; memory in use goes with the directory; crossing zones has a price; refusals name the leader; a restarted entry VM follows it.

--- a/include/pollenloft/control.hpp
+++ b/include/pollenloft/control.hpp
@@ -181,6 +181,8 @@
   /// Sets the layers that a runner holds; false if that was known.
   auto set_layers(const std::string& id, std::int32_t first, std::int32_t last)
       -> bool;
+  /// Sets how full a runner's memory is, in percent; false if that was known.
+  auto set_fill(const std::string& id, std::int32_t percent) -> bool;
   /// Notes whether reports of an endpoint are overdue; false if known.
   auto set_silent(const std::string& id, bool silent) -> bool;
   /// Ends an endpoint whatever its incarnation; false if it had ended.
--- a/include/pollenloft/route.hpp
+++ b/include/pollenloft/route.hpp
@@ -29,6 +29,7 @@
   std::int32_t last_layer = 1;  ///< one past the last
   std::int32_t slots = 1;       ///< requests it takes at once
   duration layer_time{};        ///< known for its kind; 0 if it must be learned
+  double fill = 0;  ///< share of its memory for requests that is taken
 };
 
 /// One step of a chain: the endpoint runs layers [from, to).
@@ -74,8 +75,14 @@
   duration report_half_life = milliseconds(500);
   std::size_t samples = 4;  ///< endpoints compared for each layer range
   std::string zone;         ///< of this VM; callers are near
-  /// Time that a token loses on a link between zones, until learned.
-  duration zone_link_time = milliseconds(1);
+  /// What a crossing between zones counts as, beside its time: activations of
+  /// every token cross a link that all share.
+  duration crossing_cost{};
+  /// What a chain that starts in another zone counts as: only the answer
+  /// crosses.
+  duration remote_head_cost{};
+  /// Runners whose memory is this full get no new requests.
+  double most_fill = 0.9;
   /// Whether chains of unlike endpoints cost extra.
   bool avoid_mismatch = true;
 };
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -420,6 +420,7 @@
       // A newer report that says the same is no change.
       known.report = std::max(known.report, report.report);
       next.report = known.report;
+      next.fill = known.fill;
       if (next == known) continue;
       known = std::move(next);
       touch(known);
@@ -479,6 +480,15 @@
   return true;
 }
 
+auto endpoint_directory::set_fill(const std::string& id, std::int32_t percent)
+    -> bool {
+  const auto found = records_.find(id);
+  if (found == records_.end() || found->second.fill == percent) return false;
+  found->second.fill = percent;
+  touch(found->second);
+  return true;
+}
+
 auto endpoint_directory::set_silent(const std::string& id, bool silent)
     -> bool {
   const auto found = records_.find(id);
--- a/src/control_client.cpp
+++ b/src/control_client.cpp
@@ -44,6 +44,11 @@
       target_ = i;
       return;
     }
+  if (const auto address = parse_socket_address(leader)) {
+    target_ = options_.replicas.size();
+    options_.replicas.push_back(*address);
+    return;
+  }
   next_replica();
 }
 
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -559,6 +559,9 @@
     wire::renew_reply reply;
     reply.leader = leader_address();
     reply.term = static_cast<std::int64_t>(replica_.term());
+    for (auto id : replica_.members())
+      if (const auto address = peer_address(id))
+        reply.replicas.push_back(address->text());
     if (!in_charge()) return wire_reply(call, reply);
     const auto now = boottime_clock::now();
     reply.granted = true;
--- a/src/engine.cpp
+++ b/src/engine.cpp
@@ -161,9 +161,19 @@
     -> std::optional<endpoint_view> {
   const auto address = parse_socket_address(record.address);
   if (!address) return std::nullopt;
-  return endpoint_view{record.id,          record.incarnation, *address,
-                       record.kind,        record.zone,        record.pipeline,
-                       record.first_layer, record.last_layer,  record.slots};
+  constexpr double percent = 100;
+  return endpoint_view{
+      record.id,
+      record.incarnation,
+      *address,
+      record.kind,
+      record.zone,
+      record.pipeline,
+      record.first_layer,
+      record.last_layer,
+      record.slots,
+      {},
+      static_cast<double>(record.fill) / percent};
 }
 
 }  // namespace pollenloft
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t most_unread = 1024 * 1024;
 constexpr std::size_t most_event_bytes = 1024 * 1024;
 constexpr std::int32_t most_urgency = 9;
+/// Refusals for want of room come at once.
+constexpr auto slow_refusal = milliseconds(500);
 
 auto to_ms(duration d) -> milliseconds {
   return std::chrono::duration_cast<milliseconds>(d);
@@ -130,6 +132,7 @@
   answer_ = {};
   head_ = {};
   pending_.clear();
+  dispatched_ = boottime_clock::now();
   const auto attempt = life_.attempt();
   if (attempt == 1)
     host_.numbers().observe("pollenloft_queue_seconds",
@@ -249,13 +252,17 @@
   const auto at_fault = endpoint_at(head_.at_fault);
   reason_ = "the endpoints have no place";
   avoid_.insert(at_fault);
-  const auto full = answer_.status == 503 || answer_.status == 429;
+  // A runner that does not hold its part, or whose refusal took as long as a
+  // dead neighbour's silence, is left alone; one without room comes back soon.
+  const auto slow = boottime_clock::now() - dispatched_ > slow_refusal;
+  const auto full =
+      (answer_.status == 503 || answer_.status == 429) && !slow;
   log_event(log_level::info, "request.refused_by_endpoint",
             {{"id", given_.headers.request_id},
              {"attempt", life_.attempt()},
              {"endpoint", at_fault},
              {"status", answer_.status}});
-  free_places(full ? dispatch_result::refused : dispatch_result::failed,
+  free_places(full ? dispatch_result::refused : dispatch_result::down,
               at_fault);
   step(request_event::not_run);
 }
@@ -315,6 +322,16 @@
   });
 }
 
+auto front_request::endpoint_lost(const std::string& id) -> void {
+  const auto affected =
+      placed_ &&
+      std::any_of(stages_.begin(), stages_.end(),
+                  [&](const auto& stage) { return stage.endpoint->id == id; });
+  if (!affected || !given_.route->may_repeat()) return;
+  avoid_.insert(id);
+  stalled();
+}
+
 auto front_request::stalled() -> void {
   const auto stages = stages_;
   step(request_event::stalled);
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -73,6 +73,9 @@
   auto refuse(int status, const std::string& reason, milliseconds retry_after)
       -> void;
   auto step(request_event event) -> void;
+  /// An endpoint was lost: a request on it that may be repeated goes on
+  /// elsewhere now.
+  auto endpoint_lost(const std::string& id) -> void;
 
  private:
   struct kept_answer {
@@ -117,6 +120,7 @@
   timer deadline_;
   timer stall_;
   std::set<std::string> avoid_;  // endpoints that failed this request
+  instant dispatched_{};
   bool placed_ = false;
   bool suspect_ = false;
   kept_answer answer_;  // of the present attempt
--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -16,12 +16,24 @@
 /// caller that returns later is served better.
 constexpr double wait_share = 0.5;
 constexpr auto least_wait = milliseconds(100);
+/// VMs start with their part of the slack unspent, and others take the place
+/// of those that fail: half of it stays in reserve.
+constexpr double retry_slack_share = 0.5;
+constexpr std::size_t least_vms = 3;
 constexpr auto default_deadline = std::chrono::seconds(30);
 
 auto path_of(const std::string& target) -> std::string_view {
   return std::string_view(target).substr(0, target.find('?'));
 }
 
+/// A runner that held layers and is in service has none any more: it is down.
+auto lost_layers(const wire::endpoint_record& before,
+                 const wire::endpoint_record& after) -> bool {
+  const auto up = static_cast<std::int8_t>(endpoint_state::up);
+  return after.state == up && before.last_layer > before.first_layer &&
+         after.last_layer <= after.first_layer;
+}
+
 auto wait_limit(const ingress_route& route) -> duration {
   const auto share =
       std::chrono::duration_cast<duration>(wait_share * route.objective);
@@ -121,7 +133,8 @@
   if (requests_.size() >= most_requests)
     return refuse(call, 503, "Too many requests are open on this VM.");
   const auto burst = std::max(
-      1.0, options_.retry_slack / static_cast<double>(control_.vm_count()));
+      1.0, retry_slack_share * options_.retry_slack /
+               static_cast<double>(std::max(least_vms, control_.vm_count())));
   auto& budget =
       budgets_
           .try_emplace(given.service, retry_budget(options_.retry_ratio, burst))
@@ -157,16 +170,30 @@
   // A new leader may not have heard of all endpoints yet: what it does not
   // name stays until it ends or fails.
   (void)whole;
+  std::vector<std::string> lost;
   for (const auto& record : records) {
     apply_record(record);
+    const auto known = directory_.find(record.id);
+    if (known != directory_.end() && lost_layers(known->second, record))
+      lost.push_back(record.id);
     if (record.state == static_cast<std::int8_t>(endpoint_state::gone))
       directory_.erase(record.id);
     else
       directory_[record.id] = record;
   }
+  for (const auto& id : lost)
+    leave_endpoint(id);
   schedule_pump();
 }
 
+auto front_server::leave_endpoint(const std::string& id) -> void {
+  std::vector<front_request_ptr> open;
+  for (const auto& [number, request] : requests_)
+    open.push_back(request);
+  for (const auto& request : open)
+    request->endpoint_lost(id);
+}
+
 /// Silence alone is no reason to stop, since control may be what is cut off;
 /// an address that somebody else reports from is.
 auto front_server::displaced(const wire::endpoint_record& record) const
--- a/src/front_server.hpp
+++ b/src/front_server.hpp
@@ -61,6 +61,7 @@
   auto apply_endpoints(const std::vector<wire::endpoint_record>& records,
                        bool whole) -> void;
   auto apply_record(const wire::endpoint_record& record) -> void;
+  auto leave_endpoint(const std::string& id) -> void;
   auto displaced(const wire::endpoint_record& record) const -> bool;
   auto queue_of(const std::string& service) -> fair_queue&;
   auto schedule_pump() -> void;
--- a/src/layer_placer.cpp
+++ b/src/layer_placer.cpp
@@ -10,10 +10,15 @@
 /// of them are known would have to be undone.
 constexpr auto settle_time = milliseconds(1500);
 /// A state call costs a runner little, but 2,500 runners add up.
-constexpr auto look_period = milliseconds(1000);
+constexpr auto look_period = milliseconds(500);
 constexpr auto look_period_busy = milliseconds(250);
 /// Two lost states in a row are a dead runner more often than a lost packet.
 constexpr int misses_to_lose = 2;
+/// How full a runner is matters in steps of this many percent; each step is
+/// sent to every entry VM.
+constexpr std::int32_t fill_step = 10;
+/// After a refused order the runner's state, which lags, is read anew.
+constexpr auto refused_pause = milliseconds(700);
 /// An order whose effect does not show after this is given again.
 constexpr auto order_patience = std::chrono::seconds(8);
 
@@ -30,10 +35,11 @@
 auto layer_placer::usable(const wire::endpoint_record& record) const -> bool {
   if (record.state != static_cast<std::int8_t>(endpoint_state::up))
     return false;
+  // Missing reports are no sign of a dead runner: they go to any control VM,
+  // which may be cut off. The runner's own answers are.
   const auto found = runners_.find(record.id);
-  return !record.silent && found != runners_.end() &&
-         found->second.state.has_value() &&
-         found->second.misses < misses_to_lose;
+  return found != runners_.end() && found->second.state.has_value() &&
+         !found->second.lost;
 }
 
 auto layer_placer::tick(const ingress_config& config, instant now) -> void {
@@ -53,7 +59,9 @@
   if (kind != engine.accelerators.end()) placed.kind = kind->second;
   placed.held = {book.state->first_layer, book.state->last_layer};
   if (book.wanted) placed.held = *book.wanted;
-  placed.busy = book.wanted.has_value() || book.ordering || book.state->busy;
+  placed.busy = book.wanted.has_value() || book.ordering ||
+                book.state->busy ||
+                boottime_clock::now() < book.wait_until;
   return placed;
 }
 
@@ -114,13 +122,10 @@
   auto state = answered != nullptr && answered->status == 200
                    ? platform::decode_runner_state(body)
                    : std::nullopt;
-  if (!state) {
-    if (++book.misses == misses_to_lose)
-      log_event(log_level::warning, "runner.unreachable", {{"endpoint", id}});
-    return;
-  }
-  if (book.misses >= misses_to_lose)
+  if (!state) return note_miss(id, result);
+  if (book.lost)
     log_event(log_level::info, "runner.reachable", {{"endpoint", id}});
+  book.lost = false;
   book.misses = 0;
   book.state = state;
   const layer_span held{state->first_layer, state->last_layer};
@@ -130,6 +135,30 @@
     if (overdue) book.wanted.reset();
   }
   note_layers(id, held);
+  note_fill(id, *state);
+}
+
+/// A connection that is refused means a dead process; silence may be a lost
+/// packet. Entry VMs learn of a lost runner at once and leave it.
+auto layer_placer::note_miss(const std::string& id, const call_result& result)
+    -> void {
+  auto& book = runners_[id];
+  ++book.misses;
+  const auto refused = std::holds_alternative<call_unsent>(result);
+  if (book.lost || (book.misses < misses_to_lose && !refused)) return;
+  book.lost = true;
+  log_event(log_level::warning, "runner.unreachable",
+            {{"endpoint", id}, {"misses", book.misses}, {"refused", refused}});
+  if (directory_.set_layers(id, 0, 0)) changed.emit();
+}
+
+auto layer_placer::note_fill(const std::string& id,
+                             const platform::runner_state& state) -> void {
+  constexpr double percent = 100;
+  const auto share =
+      state.cache_total > 0 ? state.cache_used / state.cache_total : 0;
+  const auto steps = static_cast<std::int32_t>(share * percent / fill_step);
+  if (directory_.set_fill(id, steps * fill_step)) changed.emit();
 }
 
 /// Routing sees a layer only while the runner has it and is to keep it.
@@ -198,6 +227,7 @@
       return;
     default:
       book.wanted.reset();
+      book.wait_until = boottime_clock::now() + refused_pause;
       log_event(log_level::warning, "layers.order_refused",
                 {{"endpoint", id},
                  {"status", answered->status},
--- a/src/layer_placer.hpp
+++ b/src/layer_placer.hpp
@@ -35,6 +35,8 @@
     bool asking = false;
     bool ordering = false;
     int misses = 0;  // states that did not come, in a row
+    bool lost = false;
+    instant wait_until{};  // no order before
     std::optional<layer_span> wanted;
     instant ordered{};
   };
@@ -48,6 +50,9 @@
   auto take_order(const std::string& id, layer_span span,
                   const call_result& result) -> void;
   auto note_layers(const std::string& id, layer_span span) -> void;
+  auto note_fill(const std::string& id, const platform::runner_state& state)
+      -> void;
+  auto note_miss(const std::string& id, const call_result& result) -> void;
   auto usable(const wire::endpoint_record& record) const -> bool;
   auto to_placed(const wire::endpoint_record& record,
                  const engine_profile& engine) const -> placed_runner;
--- a/src/route.cpp
+++ b/src/route.cpp
@@ -91,7 +91,7 @@
     if (slow != slow_links.end()) return slow->second;
     const auto zone = zone_links.find({from.zone, to.zone});
     if (zone != zone_links.end()) return zone->second;
-    return from.zone == to.zone ? duration::zero() : options.zone_link_time;
+    return from.zone == to.zone ? duration::zero() : duration(milliseconds(1));
   }
 
   auto others(const endpoint_entry& entry, instant now) const -> double {
@@ -107,6 +107,7 @@
     if (entry.outstanding + kept >= places) return false;
     if (now < entry.ejected_until && !request.use_ejected) return false;
     if (now < entry.busy_until) return false;
+    if (entry.view->fill >= options.most_fill) return false;
     // Suspects do not share an endpoint: a crash then tells which is at fault.
     if (request.suspect && entry.suspects > 0) return false;
     return request.avoid == nullptr ||
@@ -143,7 +144,9 @@
   auto link_cost(const endpoint_view& from, const endpoint_view& to) const
       -> double {
     if (!std::holds_alternative<policy_predicted>(options.policy)) return 0;
-    return seconds(link_time(from, to));
+    const auto crossing =
+        from.zone == to.zone ? duration::zero() : options.crossing_cost;
+    return seconds(link_time(from, to) + crossing);
   }
 
   /// A few usable endpoints of a range, drawn so that VMs which see the same
@@ -169,7 +172,7 @@
     longer.cost += cost(*entry, layers.second - layers.first, now);
     if (head.stages.empty() && !options.zone.empty() &&
         entry->view->zone != options.zone)
-      longer.cost += seconds(options.zone_link_time);
+      longer.cost += seconds(options.remote_head_cost);
     if (!head.stages.empty()) {
       const auto& last = *head.stages.back().first;
       longer.cost +=
@@ -307,7 +310,12 @@
                       known.last_layer == endpoint.last_layer &&
                       known.pipeline == endpoint.pipeline &&
                       known.address == endpoint.address;
-    if (same) return;
+    if (same) {
+      auto refreshed = std::make_shared<endpoint_view>(known);
+      refreshed->fill = endpoint.fill;
+      if (known.fill != endpoint.fill) found->second->view = refreshed;
+      return;
+    }
     remove(endpoint.id);
   }
   auto entry = std::make_shared<endpoint_entry>();
@@ -374,7 +382,8 @@
     const auto found = impl_->by_id.find(stage.endpoint->id);
     if (found == impl_->by_id.end()) continue;
     auto& entry = *found->second;
-    if (entry.view != stage.endpoint) continue;  // a later incarnation
+    const auto& now_known = *entry.view;
+    if (now_known.incarnation != stage.endpoint->incarnation) continue;
     entry.outstanding = std::max(0.0, entry.outstanding - 1);
     entry.suspects -= suspect ? 1 : 0;
     impl_->settle(entry, result, at_fault == stage.endpoint->id, now);
