Keep room for spare runners; believe what neighbours see

A dead, silent runner took up to 2.8 s to be noticed. Now a zone aims at 90,000 tokens and squeezes to 50,000; a restarted control VM waits for four reports; heads tell where work stands still.

--- a/include/pollenloft/placement.hpp
+++ b/include/pollenloft/placement.hpp
@@ -41,8 +41,8 @@
 
 struct placement_options {
   /// Tokens of requests that each zone's copy should have room for.
-  double most_tokens = 120000;
-  double least_tokens = 30000;  ///< when a repair has to squeeze
+  double most_tokens = 90000;
+  double least_tokens = 50000;  ///< when a repair has to squeeze
   double token_step = 5000;     ///< precision of the search between them
 };
 
--- a/src/layer_placer.cpp
+++ b/src/layer_placer.cpp
@@ -12,8 +12,14 @@
 /// A state call costs a runner little, but 2,500 runners add up.
 constexpr auto look_period = milliseconds(500);
 constexpr auto look_period_busy = milliseconds(250);
-/// Two lost states in a row are a dead runner more often than a lost packet.
-constexpr int misses_to_lose = 2;
+/// Lost packets make a state late now and then; several in a row are a dead
+/// runner, and one is if its neighbours' work stands still there.
+constexpr int misses_to_lose = 4;
+constexpr int misses_to_lose_accused = 1;
+constexpr auto accusation_life = std::chrono::seconds(2);
+/// Reports that each runner has had time for before a control VM that started
+/// empty takes one it has not heard of for missing.
+constexpr int reports_to_know_all = 4;
 /// How full a runner is matters in steps of this many percent; each step is
 /// sent to every entry VM.
 constexpr std::int32_t fill_step = 10;
@@ -81,9 +87,11 @@
   if (known > count) since = now;
   count = known;
   if (placed.empty() || now - since < settle_time) return;
+  const auto knows_all = now - started_ > reports_to_know_all * report_period_;
   const auto empty =
       std::all_of(placed.begin(), placed.end(),
                   [](const auto& runner) { return runner.held.empty(); });
+  if (!empty && !knows_all) return;
   const auto plan = empty ? plan_first(*service.engine, placed, {})
                           : plan_repair(*service.engine, placed, {});
   for (const auto& [id, span] : plan)
@@ -97,7 +105,9 @@
     book = runner_book{};
     book.incarnation = record.incarnation;
   }
-  const auto period = book.wanted ? look_period_busy : look_period;
+  const auto accused = now - book.accused < accusation_life;
+  const auto period =
+      book.wanted || accused ? look_period_busy : look_period;
   if (book.asking || now - book.asked < period) return;
   const auto address = parse_socket_address(record.address);
   if (!address) return;
@@ -134,21 +144,41 @@
     if (held == *book.wanted && !state->busy) book.wanted.reset();
     if (overdue) book.wanted.reset();
   }
+  for (const auto& address : state->stalled_at)
+    accuse(address);
   note_layers(id, held);
   note_fill(id, *state);
 }
 
+/// Work stands still at this address: its runner is asked at once.
+auto layer_placer::accuse(const std::string& address) -> void {
+  for (const auto& [id, record] : directory_.records()) {
+    if (record.address != address) continue;
+    const auto found = runners_.find(id);
+    if (found == runners_.end() || found->second.lost) continue;
+    found->second.accused = boottime_clock::now();
+    look_at(record, boottime_clock::now());
+  }
+}
+
 /// A connection that is refused means a dead process; silence may be a lost
 /// packet. Entry VMs learn of a lost runner at once and leave it.
 auto layer_placer::note_miss(const std::string& id, const call_result& result)
     -> void {
   auto& book = runners_[id];
   ++book.misses;
+  book.asked = {};
   const auto refused = std::holds_alternative<call_unsent>(result);
-  if (book.lost || (book.misses < misses_to_lose && !refused)) return;
+  const auto accused =
+      boottime_clock::now() - book.accused < accusation_life;
+  const auto most = accused ? misses_to_lose_accused : misses_to_lose;
+  if (book.lost || (book.misses < most && !refused)) return;
   book.lost = true;
   log_event(log_level::warning, "runner.unreachable",
-            {{"endpoint", id}, {"misses", book.misses}, {"refused", refused}});
+            {{"endpoint", id},
+             {"misses", book.misses},
+             {"refused", refused},
+             {"accused", accused}});
   if (directory_.set_layers(id, 0, 0)) changed.emit();
 }
 
--- a/src/layer_placer.hpp
+++ b/src/layer_placer.hpp
@@ -15,8 +15,12 @@
 class layer_placer {
  public:
   layer_placer(event_loop& loop, http_client& client,
-               endpoint_directory& directory)
-      : loop_(loop), client_(client), directory_(directory) {}
+               endpoint_directory& directory, duration report_period)
+      : loop_(loop),
+        client_(client),
+        directory_(directory),
+        report_period_(report_period),
+        started_(boottime_clock::now()) {}
 
   /// This replica leads with a new term, which fences all orders of earlier
   /// leaders.
@@ -36,6 +40,7 @@
     bool ordering = false;
     int misses = 0;  // states that did not come, in a row
     bool lost = false;
+    instant accused{};  // a neighbour's work last stood still here
     instant wait_until{};  // no order before
     std::optional<layer_span> wanted;
     instant ordered{};
@@ -52,6 +57,7 @@
   auto note_layers(const std::string& id, layer_span span) -> void;
   auto note_fill(const std::string& id, const platform::runner_state& state)
       -> void;
+  auto accuse(const std::string& address) -> void;
   auto note_miss(const std::string& id, const call_result& result) -> void;
   auto usable(const wire::endpoint_record& record) const -> bool;
   auto to_placed(const wire::endpoint_record& record,
@@ -60,6 +66,8 @@
   event_loop& loop_;
   http_client& client_;
   endpoint_directory& directory_;
+  duration report_period_;
+  instant started_;  // of this process, whose directory was empty then
   std::int64_t term_ = 0;
   bool fenced_ = false;
   std::map<std::string, runner_book> runners_;
