--- a/include/pollenloft/control.hpp
+++ b/include/pollenloft/control.hpp
@@ -185,6 +185,11 @@
   auto set_fill(const std::string& id, std::int32_t percent) -> bool;
   /// Notes whether reports of an endpoint are overdue; false if known.
   auto set_silent(const std::string& id, bool silent) -> bool;
+  /// Notes that another endpoint reports from the same address, until this one
+  /// reports again.
+  auto displace(const std::string& id) -> bool;
+  /// Equal for directories that agree on which endpoints there are.
+  auto digest() const -> std::uint64_t;
   /// Ends an endpoint whatever its incarnation; false if it had ended.
   auto end(const std::string& id) -> bool;
   /// Records changed after `sequence`.
--- a/include/pollenloft/placement.hpp
+++ b/include/pollenloft/placement.hpp
@@ -53,6 +53,10 @@
 auto most_layers(const engine_profile& engine, const accelerator& kind,
                  double tokens) -> std::int32_t;
 
+/// Tokens of requests that fit beside the weights of `layers` layers.
+auto room_for_tokens(const engine_profile& engine, const accelerator& kind,
+                     std::int32_t layers) -> double;
+
 /// Spans for runners that hold nothing yet: the first placement.
 auto plan_first(const engine_profile& engine,
                 const std::vector<placed_runner>& runners,
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -498,6 +498,23 @@
   return true;
 }
 
+auto endpoint_directory::displace(const std::string& id) -> bool {
+  const auto found = records_.find(id);
+  if (found == records_.end() || found->second.displaced) return false;
+  found->second.displaced = true;
+  touch(found->second);
+  return true;
+}
+
+auto endpoint_directory::digest() const -> std::uint64_t {
+  std::uint64_t sum = 0;
+  for (const auto& [id, record] : records_)
+    sum = hash64(id + record.incarnation +
+                     std::to_string(static_cast<int>(record.state)),
+                 sum);
+  return sum;
+}
+
 auto endpoint_directory::end(const std::string& id) -> bool {
   const auto found = records_.find(id);
   const auto gone = static_cast<std::int8_t>(endpoint_state::gone);
--- a/src/control_gateway.cpp
+++ b/src/control_gateway.cpp
@@ -12,6 +12,8 @@
 /// than a lost report and a late one.
 constexpr int missing_reports = 3;
 constexpr auto share_period = std::chrono::seconds(1);
+/// Between two whole directories sent to one control VM.
+constexpr auto tell_pause = std::chrono::seconds(2);
 constexpr auto up = static_cast<std::int8_t>(endpoint_state::up);
 constexpr auto gone = static_cast<std::int8_t>(endpoint_state::gone);
 
@@ -131,8 +133,7 @@
   for (const auto& id : doubtful) {
     log_event(log_level::info, "endpoint.displaced",
               {{"endpoint", id}, {"by", record.id}});
-    heard_[id] = {};
-    directory.set_silent(id, true);
+    directory.displace(id);
   }
   ended.merge(doubtful);
   if (!ended.empty()) publish(ended);
@@ -202,13 +203,23 @@
     at = std::max(at, now - milliseconds(heard.age_ms));
   }
   if (changed) host_.directory_changed();
+  const auto differs =
+      news.digest != 0 &&
+      news.digest != static_cast<std::int64_t>(host_.directory().digest());
+  if (!differs || now - told_[news.sender] < tell_pause) return;
+  told_[news.sender] = now;
+  host_.share_with(static_cast<std::uint32_t>(news.sender), whole_directory());
 }
 
-auto control_gateway::share_all() -> void {
+auto control_gateway::whole_directory() -> wire::directory_share {
   wire::directory_share news;
   for (const auto& [id, record] : host_.directory().records())
     news.records.push_back(record);
-  if (!news.records.empty()) host_.share(news);
+  return news;
+}
+
+auto control_gateway::share_all() -> void {
+  if (host_.directory().size() > 0) host_.share(whole_directory());
 }
 
 auto control_gateway::tick(instant now) -> void {
@@ -233,7 +244,8 @@
     heard.age_ms = static_cast<std::int32_t>(age_ms(now - heard_[id]));
     news.heard.push_back(std::move(heard));
   }
-  if (!news.heard.empty()) host_.share(news);
+  news.digest = static_cast<std::int64_t>(host_.directory().digest());
+  host_.share(news);
 }
 
 auto control_gateway::config() -> std::shared_ptr<const ingress_config> {
--- a/src/control_gateway.hpp
+++ b/src/control_gateway.hpp
@@ -34,7 +34,9 @@
   virtual auto submit_document(wire::document_command command, committed done)
       -> void = 0;
   /// Sends to every other member.
-  virtual auto share(const wire::directory_share& news) -> void = 0;
+  virtual auto share(wire::directory_share news) -> void = 0;
+  virtual auto share_with(std::uint32_t member, wire::directory_share news)
+      -> void = 0;
   virtual auto directory_changed() -> void = 0;
 };
 
@@ -63,6 +65,7 @@
   auto point_to_leader(const exchange_ptr& call) -> void;
   auto merge(const wire::endpoint_record& record) -> bool;
   auto displace_at(const wire::endpoint_record& record) -> bool;
+  auto whole_directory() -> wire::directory_share;
   auto publish(const std::set<std::string>& ids) -> void;
 
   control_host& host_;
@@ -72,6 +75,7 @@
   std::map<std::string, instant> heard_;
   std::set<std::string> heard_here_;  // since the last share
   instant shared_at_{};
+  std::map<std::int32_t, instant> told_;  // the whole directory, by member
   std::shared_ptr<const ingress_config> config_;
 };
 
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -140,10 +140,14 @@
     submit(command,
            [done = std::move(done)](const auto& reply) { done(!!reply); });
   }
-  auto share(const wire::directory_share& news) -> void override {
-    const auto body = encode_wire(news);
+  auto share(wire::directory_share news) -> void override {
     for (auto id : replica_.members())
-      if (id != id_) post_to(id, "/peer/directory", body);
+      if (id != id_) share_with(id, news);
+  }
+  auto share_with(std::uint32_t member, wire::directory_share news)
+      -> void override {
+    news.sender = static_cast<std::int32_t>(id_);
+    post_to(member, "/peer/directory", encode_wire(news));
   }
   auto directory_changed() -> void override { schedule_wake(); }
 
--- a/src/entryd.cpp
+++ b/src/entryd.cpp
@@ -71,6 +71,7 @@
   options.retry_ratio =
       static_cast<double>(given.number("retry-percent")) / 100;
   options.retry_slack = static_cast<double>(given.number("retry-slack"));
+  options.drain_notice = given.millis("drain-notice-ms");
   options.routing.zone = options.zone;
   options.routing.avoid_mismatch = false;
   options.routing.crossing_cost = crossing_cost;
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -199,7 +199,9 @@
   if (!call_->started()) {
     host_.numbers().observe("pollenloft_first_event_seconds",
                             boottime_clock::now() - given_.arrived);
-    call_->start(answer_.status, answer_.headers);
+    auto headers = answer_.headers;
+    if (host_.draining()) headers.add("Connection", "close");
+    call_->start(answer_.status, headers);
   }
   arm_stall_timer();
   if (call_->chunk(whole) <= most_unread) return;
--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -82,6 +82,8 @@
 
 auto front_server::drain() -> void {
   draining_ = true;
+  drain_timer_ =
+      loop_.after(options_.drain_notice, [this] { refusing_ = true; });
 }
 
 auto front_server::refuse(const exchange_ptr& call, int status,
@@ -194,19 +196,7 @@
     request->endpoint_lost(id);
 }
 
-/// Silence alone is no reason to stop, since control may be what is cut off;
-/// an address that somebody else reports from is.
-auto front_server::displaced(const wire::endpoint_record& record) const
-    -> bool {
-  if (!record.silent) return false;
-  return std::any_of(directory_.begin(), directory_.end(),
-                     [&](const auto& item) {
-                       const auto& other = item.second;
-                       return other.id != record.id &&
-                              other.address == record.address && !other.silent;
-                     });
-}
-
+/// Silence is no reason to stop, since control may be what is cut off.
 auto front_server::apply_record(const wire::endpoint_record& record) -> void {
   const auto up = record.state == static_cast<std::int8_t>(endpoint_state::up);
   auto view = to_view(record);
@@ -214,7 +204,7 @@
     return router_.remove(record.id);
   const auto& services = table_->config().services;
   const auto service = services.find(record.pipeline);
-  if (service == services.end() || displaced(record))
+  if (service == services.end() || record.displaced)
     return router_.remove(record.id);
   if (service->second.engine) {
     const auto& engine = *service->second.engine;
--- a/src/front_server.hpp
+++ b/src/front_server.hpp
@@ -22,6 +22,8 @@
   double retry_ratio = 0.2;  ///< second sends for each request
   double retry_slack = 50;   ///< and so many more, over all entry VMs
   std::size_t most_queued = 500;
+  /// Time between showing not ready and refusing new requests.
+  milliseconds drain_notice{1000};
 };
 
 class front_server : public front_host {
@@ -62,7 +64,6 @@
                        bool whole) -> void;
   auto apply_record(const wire::endpoint_record& record) -> void;
   auto leave_endpoint(const std::string& id) -> void;
-  auto displaced(const wire::endpoint_record& record) const -> bool;
   auto queue_of(const std::string& service) -> fair_queue&;
   auto schedule_pump() -> void;
   auto pump() -> void;
@@ -89,6 +90,8 @@
   timer ticker_;
   bool pump_posted_ = false;
   bool draining_ = false;
+  bool refusing_ = false;  // the end of a drain
+  timer drain_timer_;
 };
 
 }  // namespace pollenloft
--- a/src/layer_placer.cpp
+++ b/src/layer_placer.cpp
@@ -11,6 +11,7 @@
 constexpr auto settle_time = milliseconds(1500);
 /// A state call costs a runner little, but 2,500 runners add up.
 constexpr auto look_period = milliseconds(500);
+constexpr auto summary_period = std::chrono::seconds(4);
 constexpr auto look_period_busy = milliseconds(250);
 /// Lost packets make a state late now and then; several in a row are a dead
 /// runner, and one is if its neighbours' work stands still there.
@@ -78,6 +79,7 @@
   for (const auto& [id, record] : directory_.records()) {
     if (record.pipeline != service.name || record.kind.empty()) continue;
     if (record.state != static_cast<std::int8_t>(endpoint_state::up)) continue;
+    if (record.displaced) continue;
     ++known;
     look_at(record, now);
     if (usable(record)) placed.push_back(to_placed(record, *service.engine));
@@ -96,6 +98,32 @@
                           : plan_repair(*service.engine, placed, {});
   for (const auto& [id, span] : plan)
     order(directory_.records().at(id), span, now);
+  if (now - summed_ < summary_period) return;
+  summed_ = now;
+  log_summary(*service.engine, placed);
+}
+
+/// One line for each zone: whether it holds every layer, and the room for
+/// requests of the layer that has least.
+auto layer_placer::log_summary(const engine_profile& engine,
+                               const std::vector<placed_runner>& placed) const
+    -> void {
+  std::map<std::string, std::vector<double>> zones;
+  for (const auto& runner : placed) {
+    auto& room = zones[runner.zone];
+    room.resize(static_cast<std::size_t>(engine.layers));
+    for (auto layer = runner.held.from; layer < runner.held.to; ++layer)
+      room[static_cast<std::size_t>(layer)] +=
+          room_for_tokens(engine, runner.kind, runner.held.size());
+  }
+  for (const auto& [zone, room] : zones) {
+    const auto least = std::min_element(room.begin(), room.end());
+    log_event(log_level::info, "layers.summary",
+              {{"zone", zone},
+               {"missing", std::count(room.begin(), room.end(), 0.0)},
+               {"least_room_tokens", static_cast<std::int64_t>(*least)},
+               {"at_layer", least - room.begin()}});
+  }
 }
 
 auto layer_placer::look_at(const wire::endpoint_record& record, instant now)
--- a/src/layer_placer.hpp
+++ b/src/layer_placer.hpp
@@ -47,6 +47,8 @@
   };
 
   auto tick_service(const ingress_service& service, instant now) -> void;
+  auto log_summary(const engine_profile& engine,
+                   const std::vector<placed_runner>& placed) const -> void;
   auto look_at(const wire::endpoint_record& record, instant now) -> void;
   auto take_state(const std::string& id, const call_result& result,
                   std::string_view body) -> void;
@@ -68,6 +70,7 @@
   endpoint_directory& directory_;
   duration report_period_;
   instant started_;  // of this process, whose directory was empty then
+  instant summed_{};
   std::int64_t term_ = 0;
   bool fenced_ = false;
   std::map<std::string, runner_book> runners_;
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -194,6 +194,14 @@
   return std::min(engine.layers, static_cast<std::int32_t>(most));
 }
 
+auto room_for_tokens(const engine_profile& engine, const accelerator& kind,
+                     std::int32_t layers) -> double {
+  if (layers <= 0 || engine.cache_bytes <= 0) return 0;
+  const auto room_mb = kind.memory_mb - engine.layer_mb * layers;
+  return std::max(0.0, room_mb * bytes_per_mb * engine.layers /
+                           (engine.cache_bytes * layers));
+}
+
 auto plan_first(const engine_profile& engine,
                 const std::vector<placed_runner>& runners,
                 const placement_options& options) -> layer_plan {
--- a/support/pollenloft.thrift
+++ b/support/pollenloft.thrift
@@ -67,14 +67,15 @@
 }
 
 // Reports of one incarnation are ordered by `report`; `silent` is set while
-// none has come for several periods. `fill` is the percentage of a runner's
+// none has come for several periods, `displaced` while another endpoint reports
+// from the same address. `fill` is the percentage of a runner's
 // memory for requests that is taken.
 struct endpoint_record {
   1: string id, 2: string incarnation, 3: string address, 4: string kind,
   5: string zone, 6: string pipeline, 7: i32 first_layer, 8: i32 last_layer,
   9: i32 slots, 10: i8 state, 11: string owner, 12: i64 sequence,
   13: bool fencing, 14: i32 token_us, 15: i64 report, 16: bool silent,
-  17: i32 fill
+  17: i32 fill, 18: bool displaced
 }
 
 // Tokens a second that an account got, and the cost it has waiting.
@@ -106,8 +107,10 @@
 // What control replicas tell each other of endpoints: records that changed,
 // and which endpoints reported since the last message.
 struct heard_endpoint { 1: string id, 2: i32 age_ms }
+// A digest that differs asks for the whole directory.
 struct directory_share {
-  1: list<endpoint_record> records, 2: list<heard_endpoint> heard
+  1: list<endpoint_record> records, 2: list<heard_endpoint> heard,
+  3: i32 sender, 4: i64 digest, 5: bool whole
 }
 
 // A control VM that is not a member asks to become one.
