--- a/include/pollenloft/placement.hpp
+++ b/include/pollenloft/placement.hpp
@@ -41,9 +41,10 @@
 
 struct placement_options {
   /// Tokens of requests that each zone's copy should have room for.
-  double most_tokens = 90000;
+  /// One and a half times what a zone's calm load holds.
+  double most_tokens = 88000;
   double least_tokens = 50000;  ///< when a repair has to squeeze
-  double token_step = 5000;     ///< precision of the search between them
+  double token_step = 1000;     ///< precision of the search between them
 };
 
 using layer_plan = std::map<std::string, layer_span>;
--- a/include/pollenloft/route.hpp
+++ b/include/pollenloft/route.hpp
@@ -113,6 +113,11 @@
   /// A chain over [0, layers) with a free place on every stage, or empty.
   auto choose(const chain_request& request, instant now)
       -> std::optional<chain>;
+  /// The chain with other endpoints in place of one that is lost; empty if
+  /// nobody else can take its part.
+  auto replace_stage(const chain& stages, const std::string& lost,
+                     const chain_request& request, instant now)
+      -> std::optional<chain>;
   auto started(const chain& stages, bool suspect) -> void;
   /// The dispatch has ended. `at_fault` names the endpoint that a failure or
   /// refusal came from; the others are not held to it.
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -10,7 +10,7 @@
 /// A runner cuts off work that depends on a dead one by itself; a stream that
 /// pauses this long is resumed sooner.
 constexpr auto first_event_patience = milliseconds(1800);
-constexpr auto event_patience = milliseconds(1000);
+constexpr auto event_patience = milliseconds(1500);
 /// An answer of a plain endpoint that may be asked again is waited for this
 /// many times its objective.
 constexpr int plain_patience_factor = 3;
@@ -331,6 +331,50 @@
                   [&](const auto& stage) { return stage.endpoint->id == id; });
   if (!affected || !given_.route->may_repeat()) return;
   avoid_.insert(id);
+  if (!mend_chain(id)) stalled();
+}
+
+/// The runner at the head keeps the request; the new stages read the tokens so
+/// far, the other ones keep their memory.
+auto front_request::mend_chain(const std::string& lost) -> bool {
+  if (given_.engine == nullptr || stages_.front().endpoint->id == lost)
+    return false;
+  auto mended = host_.routes().replace_stage(stages_, lost, chain_wanted(),
+                                             boottime_clock::now());
+  if (!mended) return false;
+  host_.routes().ended(stages_, suspect_, dispatch_result::abandoned, "",
+                       boottime_clock::now());
+  stages_ = std::move(*mended);
+  host_.routes().started(stages_, suspect_);
+  log_event(log_level::info, "chain.mended",
+            {{"id", given_.headers.request_id},
+             {"lost", lost},
+             {"stages", stages_.size()},
+             {"events", events_}});
+  host_.numbers().add("pollenloft_chains_mended_total");
+  arm_stall_timer();
+  host_.client().send(
+      platform::encode_chain_order(given_.headers.request_id, stages_),
+      {{},
+       {},
+       [self = weak_from_this(), attempt = life_.attempt()](
+           const auto& result, auto /*body*/) {
+         if (auto held = self.lock()) held->take_chain_order(attempt, result);
+       }});
+  return true;
+}
+
+auto front_request::take_chain_order(std::size_t attempt,
+                                     const call_result& result) -> void {
+  if (attempt != life_.attempt() || !placed_) return;
+  const auto* answered = std::get_if<call_answered>(&result);
+  const auto status = answered == nullptr ? 0 : answered->status;
+  const auto order = platform::read_order_result(status);
+  if (order == platform::order_result::begun ||
+      order == platform::order_result::done)
+    return;
+  log_event(log_level::info, "chain.not_mended",
+            {{"id", given_.headers.request_id}, {"status", status}});
   stalled();
 }
 
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -106,6 +106,9 @@
   auto stall_patience() const -> duration;
   auto arm_stall_timer() -> void;
   auto stalled() -> void;
+  /// Replaces one stage of a stream under way; false if nobody can take it.
+  auto mend_chain(const std::string& lost) -> bool;
+  auto take_chain_order(std::size_t attempt, const call_result& result) -> void;
   auto reply_kept(const kept_answer& answer) -> void;
   auto reply_own(int status) -> void;
   auto end(outcome result) -> void;
--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -104,6 +104,7 @@
 }
 
 auto front_server::take(const exchange_ptr& call) -> void {
+  if (refusing_) return refuse(call, 503, "This VM is shutting down.");
   if (!table_) return refuse(call, 503, "This VM knows no configuration yet.");
   const auto& request = call->request();
   front_parameters given;
@@ -235,7 +236,8 @@
   const auto& given = request->parameters();
   auto& queue = queue_of(given.service);
   const queued_request item{given.id,       given.account,   1,
-                            given.priority, request->cost(), given.deadline};
+                            given.priority, request->cost(),
+                            given.arrived + wait_limit(*given.route)};
   if (again) {
     queue.requeue(item);
     return schedule_pump();
--- a/src/route.cpp
+++ b/src/route.cpp
@@ -195,20 +195,26 @@
   /// Dynamic programming over layer boundaries, a few best chains at each.
   auto best_chain(const range_groups& groups, const chain_request& request,
                   instant now) -> std::optional<partial_chain> {
+    return best_span(groups, request, {0, request.layers}, now);
+  }
+
+  /// The same for the layers of `span` alone.
+  auto best_span(const range_groups& groups, const chain_request& request,
+                 range span, instant now) -> std::optional<partial_chain> {
     std::map<std::int32_t, std::vector<partial_chain>> reached;
-    reached[0].push_back({});
+    reached[span.first].push_back({});
     for (auto it = reached.begin(); it != reached.end(); ++it) {
       const auto boundary = it->first;
-      if (boundary >= request.layers) break;
+      if (boundary >= span.second) break;
       for (const auto& [held, group] : groups) {
         if (held.first > boundary || held.second <= boundary) continue;
-        const range layers{boundary, std::min(held.second, request.layers)};
+        const range layers{boundary, std::min(held.second, span.second)};
         for (auto* entry : sample(group, request, now))
           for (const auto& head : it->second)
             keep_best(reached[layers.second], extend(head, entry, layers, now));
       }
     }
-    const auto whole = reached.find(request.layers);
+    const auto whole = reached.find(span.second);
     if (whole == reached.end() || whole->second.empty()) return std::nullopt;
     return whole->second.front();
   }
@@ -367,6 +373,32 @@
   return stages;
 }
 
+auto router::replace_stage(const chain& stages, const std::string& lost,
+                           const chain_request& request, instant now)
+    -> std::optional<chain> {
+  const auto groups = impl_->pipelines.find(request.pipeline);
+  if (groups == impl_->pipelines.end()) return std::nullopt;
+  // An endpoint may serve one part of a chain only.
+  std::set<std::string> taken;
+  for (const auto& stage : stages)
+    taken.insert(stage.endpoint->id);
+  auto wanted = request;
+  wanted.avoid = &taken;
+  chain mended;
+  for (const auto& stage : stages) {
+    if (stage.endpoint->id != lost) {
+      mended.push_back(stage);
+      continue;
+    }
+    const auto part = impl_->best_span(groups->second, wanted,
+                                       {stage.from, stage.to}, now);
+    if (!part) return std::nullopt;
+    for (const auto& [entry, layers] : part->stages)
+      mended.push_back({entry->view, layers.first, layers.second});
+  }
+  return mended;
+}
+
 auto router::started(const chain& stages, bool suspect) -> void {
   for (const auto& stage : stages) {
     const auto found = impl_->by_id.find(stage.endpoint->id);
