--- a/include/pollenloft/placement.hpp
+++ b/include/pollenloft/placement.hpp
@@ -42,7 +42,7 @@
 struct placement_options {
   /// Tokens of requests that each zone's copy should have room for.
   /// One and a half times what a zone's calm load holds.
-  double most_tokens = 88000;
+  double most_tokens = 111000;
   double least_tokens = 50000;  ///< when a repair has to squeeze
   double token_step = 1000;     ///< precision of the search between them
 };
--- a/src/layer_placer.cpp
+++ b/src/layer_placer.cpp
@@ -108,21 +108,38 @@
 auto layer_placer::log_summary(const engine_profile& engine,
                                const std::vector<placed_runner>& placed) const
     -> void {
-  std::map<std::string, std::vector<double>> zones;
+  struct zone_room {
+    std::vector<double> tokens;  // of each layer
+    double fullest = 0;          // share of a runner's room that is taken
+    double most_active = 0;      // requests of one runner
+    std::string fullest_id;
+  };
+  std::map<std::string, zone_room> zones;
   for (const auto& runner : placed) {
-    auto& room = zones[runner.zone];
-    room.resize(static_cast<std::size_t>(engine.layers));
+    auto& zone = zones[runner.zone];
+    zone.tokens.resize(static_cast<std::size_t>(engine.layers));
     for (auto layer = runner.held.from; layer < runner.held.to; ++layer)
-      room[static_cast<std::size_t>(layer)] +=
+      zone.tokens[static_cast<std::size_t>(layer)] +=
           room_for_tokens(engine, runner.kind, runner.held.size());
+    const auto& state = *runners_.at(runner.id).state;
+    zone.most_active = std::max(zone.most_active, state.active);
+    const auto total = std::max(1.0, state.cache_total);
+    if (state.cache_used / total <= zone.fullest) continue;
+    zone.fullest = state.cache_used / total;
+    zone.fullest_id = runner.id;
   }
-  for (const auto& [zone, room] : zones) {
-    const auto least = std::min_element(room.begin(), room.end());
-    log_event(log_level::info, "layers.summary",
-              {{"zone", zone},
-               {"missing", std::count(room.begin(), room.end(), 0.0)},
-               {"least_room_tokens", static_cast<std::int64_t>(*least)},
-               {"at_layer", least - room.begin()}});
+  for (const auto& [name, zone] : zones) {
+    const auto least =
+        std::min_element(zone.tokens.begin(), zone.tokens.end());
+    log_event(
+        log_level::info, "layers.summary",
+        {{"zone", name},
+         {"missing", std::count(zone.tokens.begin(), zone.tokens.end(), 0.0)},
+         {"least_room_tokens", static_cast<std::int64_t>(*least)},
+         {"at_layer", least - zone.tokens.begin()},
+         {"fullest", zone.fullest_id},
+         {"fullest_share", zone.fullest},
+         {"most_active", zone.most_active}});
   }
 }
 
--- a/src/route.cpp
+++ b/src/route.cpp
@@ -118,10 +118,17 @@
     return entry.outstanding + others(entry, now) + 1;
   }
 
+  /// Memory that runs out counts more the less of it is left.
+  static auto memory_pressure(const endpoint_entry& entry) -> double {
+    constexpr double least_left = 0.05;
+    return 1 / std::max(least_left, 1 - entry.view->fill);
+  }
+
   auto cost(const endpoint_entry& entry, std::int32_t layers, instant now) const
       -> double {
     return std::visit(overloaded{[&](const policy_predicted&) {
                                    return load(entry, now) *
+                                          memory_pressure(entry) *
                                           seconds(layer_time(entry)) * layers;
                                  },
                                  [&](const policy_least_outstanding&) {
