--- a/include/pollenloft/placement.hpp
+++ b/include/pollenloft/placement.hpp
@@ -3,9 +3,10 @@
 ///
 /// Load it answers: requests stay in their availability zone, so that
 /// activations do not cross the links between zones, and memory for requests
-/// is what binds first. Each zone holds one copy of the model on its fastest
-/// runners, with room for as many tokens as its memory allows; runners left
-/// over hold second copies.
+/// is what binds first. Each zone holds one copy of the model, spread over its
+/// runners so that there is room for as many tokens as possible; runners left
+/// over hold second copies. A lost runner's layers go to its neighbours, in
+/// less room, until another one relieves them.
 #ifndef POLLENLOFT_PLACEMENT_HPP
 #define POLLENLOFT_PLACEMENT_HPP
 
@@ -41,8 +42,8 @@
 
 struct placement_options {
   /// Tokens of requests that each zone's copy should have room for.
-  /// One and a half times what a zone's calm load holds.
-  double most_tokens = 111000;
+  /// Past this, room is worth less than a shorter chain.
+  double most_tokens = 250000;
   double least_tokens = 50000;  ///< when a repair has to squeeze
   double token_step = 1000;     ///< precision of the search between them
 };
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr double bytes_per_mb = 1e6;
+/// Layers with up to this much more room than the weakest one are as weak.
+constexpr double weak_factor = 1.3;
 
 using runner_list = std::vector<const placed_runner*>;
 
@@ -57,15 +59,15 @@
   return count;
 }
 
-/// The first run of layers held by exactly `least` runners, where `least` is
-/// the lowest count of all.
-auto weakest_span(const std::vector<int>& count) -> layer_span {
-  const auto least = *std::min_element(count.begin(), count.end());
-  const auto first = std::find(count.begin(), count.end(), least);
-  const auto last =
-      std::find_if(first, count.end(), [&](int n) { return n != least; });
-  return {static_cast<std::int32_t>(first - count.begin()),
-          static_cast<std::int32_t>(last - count.begin())};
+/// The run of layers around the one with the least room for requests; layers
+/// that nobody holds have none.
+auto weakest_span(const std::vector<double>& room) -> layer_span {
+  const auto weakest = std::min_element(room.begin(), room.end());
+  const auto enough = weak_factor * *weakest;
+  const auto last = std::find_if(weakest, room.end(),
+                                 [&](double tokens) { return tokens > enough; });
+  return {static_cast<std::int32_t>(weakest - room.begin()),
+          static_cast<std::int32_t>(last - room.begin())};
 }
 
 auto missing(const std::vector<int>& count) -> bool {
@@ -87,6 +89,9 @@
       : engine_(engine), options_(options), runners_(std::move(runners)) {
     sort_by_speed(runners_);
     count_ = holders(engine_, runners_);
+    room_.resize(static_cast<std::size_t>(engine_.layers));
+    for (const auto* runner : runners_)
+      add_room(*runner, runner->held, 1);
     tokens_ = std::max(options_.least_tokens,
                        tokens_for(engine_, runners_, options_));
   }
@@ -98,6 +103,7 @@
     if (!missing(count_))
       while (use_idle()) {
       }
+    relieve();
     return std::move(changes_);
   }
 
@@ -108,14 +114,23 @@
 
   /// Gives the runner the first layers of the weakest span.
   auto assign(const placed_runner& runner) -> bool {
-    const auto span = weakest_span(count_);
+    const auto span = weakest_span(room_);
     const auto most = most_layers(engine_, runner.kind, tokens_);
     const layer_span given{span.from, std::min(span.to, span.from + most)};
     return change(runner, given);
   }
 
+  auto add_room(const placed_runner& runner, layer_span span, int sign)
+      -> void {
+    const auto tokens = room_for_tokens(engine_, runner.kind, span.size());
+    for (auto layer = span.from; layer < span.to; ++layer)
+      room_[static_cast<std::size_t>(layer)] += sign * tokens;
+  }
+
   auto change(const placed_runner& runner, layer_span given) -> bool {
     if (given.empty() || given == runner.held) return false;
+    add_room(runner, runner.held, -1);
+    add_room(runner, given, 1);
     for (auto layer = runner.held.from; layer < runner.held.to; ++layer)
       --count_[static_cast<std::size_t>(layer)];
     for (auto layer = given.from; layer < given.to; ++layer)
@@ -140,7 +155,7 @@
 
   /// Extends the holders beside the gap, in less room for requests.
   auto use_neighbour() -> bool {
-    const auto gap = weakest_span(count_);
+    const auto gap = weakest_span(room_);
     for (const auto* runner : runners_) {
       if (!free(*runner) || runner->held.empty()) continue;
       const auto most =
@@ -159,10 +174,29 @@
     return false;
   }
 
+  /// Runners that hold more than their share give up what others hold, too.
+  auto relieve() -> void {
+    for (const auto* runner : runners_) {
+      if (!free(*runner)) continue;
+      const auto most = most_layers(engine_, runner->kind, tokens_);
+      auto kept = runner->held;
+      const auto spare = [&](std::int32_t layer) {
+        return kept.size() > std::max(most, 1) &&
+               count_[static_cast<std::size_t>(layer)] > 1;
+      };
+      while (spare(kept.from))
+        ++kept.from;
+      while (spare(kept.to - 1))
+        --kept.to;
+      change(*runner, kept);
+    }
+  }
+
   const engine_profile& engine_;
   const placement_options& options_;
   runner_list runners_;
   std::vector<int> count_;
+  std::vector<double> room_;  // tokens of requests, by layer
   double tokens_ = 0;
   layer_plan changes_;
 };
