--- a/include/pollenloft/control.hpp
+++ b/include/pollenloft/control.hpp
@@ -181,8 +181,10 @@
   /// Sets the layers that a runner holds; false if that was known.
   auto set_layers(const std::string& id, std::int32_t first, std::int32_t last)
       -> bool;
-  /// Sets how full a runner's memory is, in percent; false if that was known.
-  auto set_fill(const std::string& id, std::int32_t percent) -> bool;
+  /// Sets how full a runner's memory is and how slow it is, in percent; false
+  /// if that was known.
+  auto set_load(const std::string& id, std::int32_t fill, std::int32_t slowdown)
+      -> bool;
   /// Notes whether reports of an endpoint are overdue; false if known.
   auto set_silent(const std::string& id, bool silent) -> bool;
   /// Notes that another endpoint reports from the same address, until this one
--- a/include/pollenloft/placement.hpp
+++ b/include/pollenloft/placement.hpp
@@ -45,6 +45,7 @@
   /// Past this, room is worth less than a shorter chain.
   double most_tokens = 250000;
   double least_tokens = 50000;  ///< when a repair has to squeeze
+  double last_tokens = 25000;   ///< when nothing else closes a gap
   double token_step = 1000;     ///< precision of the search between them
 };
 
--- a/include/pollenloft/replica.hpp
+++ b/include/pollenloft/replica.hpp
@@ -178,6 +178,8 @@
   /// When a member was last heard by this leader; empty if never, or if this
   /// replica does not lead.
   auto last_heard(replica_id id) const -> std::optional<instant>;
+  /// When this replica last heard a leader.
+  auto last_contact() const -> instant { return heard_; }
   auto entry_at(log_index index) const -> const log_entry*;
   /// True once the leader has committed an entry of its own term, so that its
   /// applied state holds everything committed before.
--- a/include/pollenloft/route.hpp
+++ b/include/pollenloft/route.hpp
@@ -30,6 +30,7 @@
   std::int32_t slots = 1;       ///< requests it takes at once
   duration layer_time{};        ///< known for its kind; 0 if it must be learned
   double fill = 0;  ///< share of its memory for requests that is taken
+  double slowdown = 1;  ///< above 1 it is so many times slower than its kind
 };
 
 /// One step of a chain: the endpoint runs layers [from, to).
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -420,7 +420,6 @@
       // A newer report that says the same is no change.
       known.report = std::max(known.report, report.report);
       next.report = known.report;
-      next.fill = known.fill;
       if (next == known) continue;
       known = std::move(next);
       touch(known);
@@ -480,12 +479,15 @@
   return true;
 }
 
-auto endpoint_directory::set_fill(const std::string& id, std::int32_t percent)
-    -> bool {
+auto endpoint_directory::set_load(const std::string& id, std::int32_t fill,
+                                  std::int32_t slowdown) -> bool {
   const auto found = records_.find(id);
-  if (found == records_.end() || found->second.fill == percent) return false;
-  found->second.fill = percent;
-  touch(found->second);
+  if (found == records_.end()) return false;
+  auto& record = found->second;
+  if (record.fill == fill && record.slowdown == slowdown) return false;
+  record.fill = fill;
+  record.slowdown = slowdown;
+  touch(record);
   return true;
 }
 
--- a/src/control_gateway.cpp
+++ b/src/control_gateway.cpp
@@ -159,15 +159,35 @@
   host_.directory_changed();
 }
 
+/// Layers and memory of a runner are the leader's to note: it asks more often
+/// than reports come, and withholds what a dead runner says it has.
+auto control_gateway::keep_leaders_notes(wire::endpoint_record& record) const
+    -> void {
+  const auto& records = host_.directory().records();
+  const auto known = records.find(record.id);
+  if (record.kind.empty() || known == records.end() ||
+      known->second.incarnation != record.incarnation)
+    return;
+  record.fill = known->second.fill;
+  record.slowdown = known->second.slowdown;
+  record.first_layer = known->second.first_layer;
+  record.last_layer = known->second.last_layer;
+}
+
 auto control_gateway::take_report(const exchange_ptr& call,
                                   const std::string& id) -> void {
-  const auto record = platform::decode_report(id, call->request().body);
+  auto record = platform::decode_report(id, call->request().body);
   if (!record) {
     log_failure("endpoint.report_refused", last_error());
     return refuse(call, 400, last_error().reason);
   }
+  // Entry VMs learn of endpoints from the leader; an endpoint that is not
+  // acknowledged turns to another control VM.
+  if (!host_.leader_in_reach())
+    return refuse(call, 503, "The leader is not in reach.");
   heard_[id] = boottime_clock::now();
   heard_here_.insert(id);
+  keep_leaders_notes(*record);
   if (merge(*record)) {
     log_event(log_level::info, "endpoint.changed",
               {{"endpoint", id},
@@ -184,6 +204,8 @@
 
 auto control_gateway::take_leave(const exchange_ptr& call,
                                  const std::string& id) -> void {
+  if (!host_.leader_in_reach())
+    return refuse(call, 503, "The leader is not in reach.");
   if (host_.directory().end(id)) {
     log_event(log_level::info, "endpoint.left", {{"endpoint", id}});
     publish({id});
--- a/src/control_gateway.hpp
+++ b/src/control_gateway.hpp
@@ -26,6 +26,8 @@
   virtual ~control_host() = default;
   /// This replica leads, its state is complete and nobody else can lead yet.
   virtual auto in_charge() const -> bool = 0;
+  /// News given here reaches the leader, as far as this replica can tell.
+  virtual auto leader_in_reach() const -> bool = 0;
   /// The leader's host, or empty.
   virtual auto leader_host() const -> std::string = 0;
   virtual auto state() const -> const control_state& = 0;
@@ -53,6 +55,8 @@
   /// Sends the whole directory to the others; a replica that has just started
   /// knows no endpoint.
   auto share_all() -> void;
+  /// Tells the other control VMs and the entry VMs of changed records.
+  auto publish(const std::set<std::string>& ids) -> void;
   /// The document in force, decoded; null before the first.
   auto config() -> std::shared_ptr<const ingress_config>;
 
@@ -63,10 +67,10 @@
   auto take_report(const exchange_ptr& call, const std::string& id) -> void;
   auto take_leave(const exchange_ptr& call, const std::string& id) -> void;
   auto point_to_leader(const exchange_ptr& call) -> void;
+  auto keep_leaders_notes(wire::endpoint_record& record) const -> void;
   auto merge(const wire::endpoint_record& record) -> bool;
   auto displace_at(const wire::endpoint_record& record) -> bool;
   auto whole_directory() -> wire::directory_share;
-  auto publish(const std::set<std::string>& ids) -> void;
 
   control_host& host_;
   socket_address listen_;
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -23,6 +23,8 @@
 constexpr auto tick_period = milliseconds(20);
 constexpr auto peer_timeout = milliseconds(400);
 constexpr auto orphan_grace = std::chrono::seconds(3);
+/// Three heartbeats of a leader.
+constexpr auto leader_patience = milliseconds(300);
 constexpr auto join_period = milliseconds(500);
 /// A member that is away this long may be replaced by one that asks to join.
 constexpr auto replace_after = std::chrono::seconds(5);
@@ -98,7 +100,9 @@
       gateway_ = std::make_unique<control_gateway>(
           loop_, *this, given.address("platform-listen"),
           given.millis("report-period-ms"));
-    placer_.changed.connect([this] { schedule_wake(); });
+    placer_.changed.connect([this](const auto& id) {
+      if (gateway_) gateway_->publish({id});
+    });
   }
 
   auto start(const socket_address& listen) -> std::optional<bool> {
@@ -126,6 +130,12 @@
     return replica_.established() &&
            boottime_clock::now() < replica_.leads_until();
   }
+  auto leader_in_reach() const -> bool override {
+    if (replica_.role() == replica_role::leader) return in_charge();
+    return replica_.leader() != 0 && boottime_clock::now() -
+                                             replica_.last_contact() <
+                                         leader_patience;
+  }
   auto leader_host() const -> std::string override {
     const auto address = peer_address(replica_.leader());
     return address ? address->host : "";
--- a/src/engine.cpp
+++ b/src/engine.cpp
@@ -173,7 +173,8 @@
       record.last_layer,
       record.slots,
       {},
-      static_cast<double>(record.fill) / percent};
+      static_cast<double>(record.fill) / percent,
+      std::max(1.0, static_cast<double>(record.slowdown) / percent)};
 }
 
 }  // namespace pollenloft
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -382,6 +382,8 @@
   const auto stages = stages_;
   step(request_event::stalled);
   if (placed_) return;  // it may not run again, so this dispatch goes on
+  for (const auto& stage : stages)
+    avoid_.insert(stage.endpoint->id);
   host_.numbers().add("pollenloft_stalls_total");
   log_event(log_level::warning, "attempt.stalled",
             {{"id", given_.headers.request_id},
--- a/src/layer_placer.cpp
+++ b/src/layer_placer.cpp
@@ -1,5 +1,7 @@
 #include "layer_placer.hpp"
 
+#include <cmath>
+
 #include "pollenloft/telemetry.hpp"
 
 namespace pollenloft {
@@ -17,6 +19,8 @@
 /// runner, and one is if its neighbours' work stands still there.
 constexpr int misses_to_lose = 4;
 constexpr int misses_to_lose_accused = 1;
+/// States come within milliseconds from a runner that lives.
+constexpr auto accused_patience = milliseconds(250);
 constexpr auto accusation_life = std::chrono::seconds(2);
 /// Reports that each runner has had time for before a control VM that started
 /// empty takes one it has not heard of for missing.
@@ -153,6 +157,8 @@
   const auto accused = now - book.accused < accusation_life;
   const auto period =
       book.wanted || accused ? look_period_busy : look_period;
+  if (book.asking && accused && now - book.asked > accused_patience)
+    note_lost(record.id, false);
   if (book.asking || now - book.asked < period) return;
   const auto address = parse_socket_address(record.address);
   if (!address) return;
@@ -192,7 +198,7 @@
   for (const auto& address : state->stalled_at)
     accuse(address);
   note_layers(id, held);
-  note_fill(id, *state);
+  note_load(id, *state);
 }
 
 /// Work stands still at this address: its runner is asked at once.
@@ -217,23 +223,36 @@
   const auto accused =
       boottime_clock::now() - book.accused < accusation_life;
   const auto most = accused ? misses_to_lose_accused : misses_to_lose;
-  if (book.lost || (book.misses < most && !refused)) return;
+  if (book.misses >= most || refused) note_lost(id, refused);
+}
+
+auto layer_placer::note_lost(const std::string& id, bool refused) -> void {
+  auto& book = runners_[id];
+  if (book.lost) return;
+  const auto now = boottime_clock::now();
   book.lost = true;
   log_event(log_level::warning, "runner.unreachable",
             {{"endpoint", id},
              {"misses", book.misses},
              {"refused", refused},
-             {"accused", accused}});
-  if (directory_.set_layers(id, 0, 0)) changed.emit();
+             {"accused", now - book.accused < accusation_life},
+             {"asked_ms_ago",
+              std::chrono::duration_cast<milliseconds>(now - book.asked)
+                  .count()}});
+  if (directory_.set_layers(id, 0, 0)) changed.emit(id);
 }
 
-auto layer_placer::note_fill(const std::string& id,
+auto layer_placer::note_load(const std::string& id,
                              const platform::runner_state& state) -> void {
   constexpr double percent = 100;
   const auto share =
       state.cache_total > 0 ? state.cache_used / state.cache_total : 0;
   const auto steps = static_cast<std::int32_t>(share * percent / fill_step);
-  if (directory_.set_fill(id, steps * fill_step)) changed.emit();
+  // Small differences are noise of the measurement.
+  const auto halves = std::lround(2 * state.slowdown);
+  const auto slowdown =
+      static_cast<std::int32_t>(std::max(2L, halves) * percent / 2);
+  if (directory_.set_load(id, steps * fill_step, slowdown)) changed.emit(id);
 }
 
 /// Routing sees a layer only while the runner has it and is to keep it.
@@ -245,7 +264,7 @@
     span.from = std::max(span.from, book.wanted->from);
     span.to = std::max(span.from, std::min(span.to, book.wanted->to));
   }
-  if (directory_.set_layers(id, span.from, span.to)) changed.emit();
+  if (directory_.set_layers(id, span.from, span.to)) changed.emit(id);
 }
 
 auto layer_placer::order(const wire::endpoint_record& record, layer_span span,
--- a/src/layer_placer.hpp
+++ b/src/layer_placer.hpp
@@ -28,8 +28,8 @@
   /// Looks after the runners of all services; called often while leading.
   auto tick(const ingress_config& config, instant now) -> void;
 
-  /// Emitted when a record of the directory was changed.
-  sigc::signal<void()> changed;
+  /// Emitted with the endpoint's id when its record was changed.
+  sigc::signal<void(const std::string&)> changed;
 
  private:
   struct runner_book {
@@ -57,9 +57,10 @@
   auto take_order(const std::string& id, layer_span span,
                   const call_result& result) -> void;
   auto note_layers(const std::string& id, layer_span span) -> void;
-  auto note_fill(const std::string& id, const platform::runner_state& state)
+  auto note_load(const std::string& id, const platform::runner_state& state)
       -> void;
   auto accuse(const std::string& address) -> void;
+  auto note_lost(const std::string& id, bool refused) -> void;
   auto note_miss(const std::string& id, const call_result& result) -> void;
   auto usable(const wire::endpoint_record& record) const -> bool;
   auto to_placed(const wire::endpoint_record& record,
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -89,6 +89,11 @@
       : engine_(engine), options_(options), runners_(std::move(runners)) {
     sort_by_speed(runners_);
     count_ = holders(engine_, runners_);
+    auto settled = runners_;
+    settled.erase(std::remove_if(settled.begin(), settled.end(),
+                                 [](const auto* each) { return each->busy; }),
+                  settled.end());
+    settled_ = holders(engine_, settled);
     room_.resize(static_cast<std::size_t>(engine_.layers));
     for (const auto* runner : runners_)
       add_room(*runner, runner->held, 1);
@@ -98,7 +103,10 @@
 
   auto plan() -> layer_plan {
     while (missing(count_))
-      if (!use_idle() && !use_redundant() && !use_neighbour()) break;
+      if (!use_idle() && !use_redundant() &&
+          !use_neighbour(options_.least_tokens) &&
+          !use_neighbour(options_.last_tokens))
+        break;
     // Runners that hold nothing double what is held least.
     if (!missing(count_))
       while (use_idle()) {
@@ -148,18 +156,17 @@
   auto use_redundant() -> bool {
     for (const auto* runner : runners_)
       if (!runner->held.empty() && free(*runner) &&
-          redundant(*runner, count_) && assign(*runner))
+          redundant(*runner, settled_) && assign(*runner))
         return true;
     return false;
   }
 
   /// Extends the holders beside the gap, in less room for requests.
-  auto use_neighbour() -> bool {
+  auto use_neighbour(double tokens) -> bool {
     const auto gap = weakest_span(room_);
     for (const auto* runner : runners_) {
       if (!free(*runner) || runner->held.empty()) continue;
-      const auto most =
-          most_layers(engine_, runner->kind, options_.least_tokens);
+      const auto most = most_layers(engine_, runner->kind, tokens);
       const auto room = most - runner->held.size();
       if (room <= 0) continue;
       auto given = runner->held;
@@ -182,12 +189,12 @@
       auto kept = runner->held;
       const auto spare = [&](std::int32_t layer) {
         return kept.size() > std::max(most, 1) &&
-               count_[static_cast<std::size_t>(layer)] > 1;
+               settled_[static_cast<std::size_t>(layer)] > 1;
       };
       while (spare(kept.from))
-        ++kept.from;
+        --settled_[static_cast<std::size_t>(kept.from++)];
       while (spare(kept.to - 1))
-        --kept.to;
+        --settled_[static_cast<std::size_t>(--kept.to)];
       change(*runner, kept);
     }
   }
@@ -195,7 +202,8 @@
   const engine_profile& engine_;
   const placement_options& options_;
   runner_list runners_;
-  std::vector<int> count_;
+  std::vector<int> count_;    // holders of each layer
+  std::vector<int> settled_;  // those that are not loading
   std::vector<double> room_;  // tokens of requests, by layer
   double tokens_ = 0;
   layer_plan changes_;
--- a/src/route.cpp
+++ b/src/route.cpp
@@ -17,6 +17,7 @@
 // An endpoint that had no place is left alone for this long, and up to as
 // long again by chance, so that the VMs do not return together.
 constexpr auto busy_pause = milliseconds(5);
+constexpr auto most_busy_pause = milliseconds(500);
 constexpr std::size_t most_links = 20000;
 
 auto seconds(duration d) -> double {
@@ -38,6 +39,7 @@
   duration layer_time{};  // learned; 0 falls back on the kind's
   int suspects = 0;
   int failures = 0;  // in a row
+  int refusals = 0;  // in a row
   duration eject_for{};
   instant ejected_until{};
   instant busy_until{};
@@ -129,6 +131,7 @@
     return std::visit(overloaded{[&](const policy_predicted&) {
                                    return load(entry, now) *
                                           memory_pressure(entry) *
+                                          entry.view->slowdown *
                                           seconds(layer_time(entry)) * layers;
                                  },
                                  [&](const policy_least_outstanding&) {
@@ -252,10 +255,14 @@
            std::max(1.0, options.eject_fraction * static_cast<double>(all));
   }
 
-  auto busy_time() -> duration {
-    const duration extra(static_cast<std::int64_t>(random.below(
-        static_cast<std::uint64_t>(duration(busy_pause).count()))));
-    return busy_pause + extra;
+  /// Doubles with each refusal in a row: an endpoint that is about to leave
+  /// refuses everything.
+  auto busy_time(int refusals) -> duration {
+    const auto pause = std::min<duration>(
+        most_busy_pause, duration(busy_pause) * (1 << std::min(refusals, 10)));
+    const duration extra(static_cast<std::int64_t>(
+        random.below(static_cast<std::uint64_t>(pause.count()))));
+    return pause + extra;
   }
 
   auto eject(endpoint_entry& entry, instant now) -> void {
@@ -271,6 +278,7 @@
     switch (result) {
       case dispatch_result::served:
         entry.failures = 0;
+        entry.refusals = 0;
         entry.eject_for = {};
         // The window grows only while it is what limits this VM.
         if (entry.outstanding + 2 >= std::floor(entry.window))
@@ -283,7 +291,7 @@
         // that the VMs' windows together stay close to the endpoint's places.
         entry.window = std::max(
             1.0, std::min(entry.window - window_cut, entry.outstanding));
-        entry.busy_until = now + busy_time();
+        entry.busy_until = now + busy_time(entry.refusals++);
         break;
       case dispatch_result::failed:
         if (at_fault && ++entry.failures >= failures_to_eject &&
@@ -326,7 +334,8 @@
     if (same) {
       auto refreshed = std::make_shared<endpoint_view>(known);
       refreshed->fill = endpoint.fill;
-      if (known.fill != endpoint.fill) found->second->view = refreshed;
+      refreshed->slowdown = endpoint.slowdown;
+      found->second->view = refreshed;
       return;
     }
     remove(endpoint.id);
