--- a/include/pollenloft/route.hpp
+++ b/include/pollenloft/route.hpp
@@ -76,9 +76,6 @@
   duration report_half_life = milliseconds(500);
   std::size_t samples = 4;  ///< endpoints compared for each layer range
   std::string zone;         ///< of this VM; callers are near
-  /// What a crossing between zones counts as, beside its time: activations of
-  /// every token cross a link that all share.
-  duration crossing_cost{};
   /// What a chain that starts in another zone counts as: only the answer
   /// crosses.
   duration remote_head_cost{};
@@ -94,7 +91,10 @@
   bool suspect = false;  ///< was on an endpoint that crashed
   const std::set<std::string>* avoid = nullptr;  ///< endpoint ids
   double reserve = 0;        ///< share of each endpoint's places left to others
+  /// Activations that a crossing between zones carries for this request.
+  double crossing_mb = 0;
   bool use_ejected = false;  ///< set by the router itself
+  bool one_zone = false;     ///< set by the router itself
 };
 
 class router {
@@ -110,6 +110,9 @@
   auto remove(const std::string& id) -> void;
   /// VMs that share the endpoints' slots with this one.
   auto set_vm_count(std::size_t vms) -> void;
+  /// This VM's part of the links between zones. All activations share them, so
+  /// that chains which cross are for layers that no zone holds whole.
+  auto set_crossing_rate(double mb_per_s) -> void;
 
   /// A chain over [0, layers) with a free place on every stage, or empty.
   auto choose(const chain_request& request, instant now)
--- a/src/entryd.cpp
+++ b/src/entryd.cpp
@@ -46,9 +46,7 @@
     {"log-level", "info", one_of{{"debug", "info", "warning", "error"}},
      "lowest level written"}};
 
-/// Against costs of some 100 ms for a chain of ten loaded stages: a detour
-/// through another zone is for repair, a whole chain there for balance.
-constexpr auto crossing_cost = milliseconds(60);
+/// Against costs of some 100 ms for a chain of ten loaded stages.
 constexpr auto remote_head_cost = milliseconds(15);
 
 auto control_replicas(const settings& given) -> std::vector<socket_address> {
@@ -74,7 +72,6 @@
   options.drain_notice = given.millis("drain-notice-ms");
   options.routing.zone = options.zone;
   options.routing.avoid_mismatch = false;
-  options.routing.crossing_cost = crossing_cost;
   options.routing.remote_head_cost = remote_head_cost;
   return options;
 }
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -18,6 +18,7 @@
 /// Unread bytes of a slow caller after which the stream is given up.
 constexpr std::size_t most_unread = 1024 * 1024;
 constexpr std::size_t most_event_bytes = 1024 * 1024;
+constexpr double bytes_per_mb = 1e6;
 constexpr std::int32_t most_urgency = 9;
 /// Refusals for want of room come at once.
 constexpr auto slow_refusal = milliseconds(500);
@@ -87,7 +88,10 @@
 auto front_request::chain_wanted() const -> chain_request {
   chain_request wanted;
   wanted.pipeline = given_.service;
-  if (given_.engine != nullptr) wanted.layers = given_.engine->layers;
+  if (given_.engine != nullptr) {
+    wanted.layers = given_.engine->layers;
+    wanted.crossing_mb = cost() * given_.engine->activation_bytes / bytes_per_mb;
+  }
   wanted.suspect = suspect_;
   wanted.avoid = &avoid_;
   return wanted;
--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -19,6 +19,9 @@
 /// VMs start with their part of the slack unspent, and others take the place
 /// of those that fail: half of it stays in reserve.
 constexpr double retry_slack_share = 0.5;
+/// Part of the links between zones that requests may fill; past it transfers
+/// queue up behind each other.
+constexpr double link_share = 0.5;
 constexpr std::size_t least_vms = 3;
 constexpr auto default_deadline = std::chrono::seconds(30);
 
@@ -276,10 +279,22 @@
 auto front_server::pump() -> void {
   pump_posted_ = false;
   const auto now = boottime_clock::now();
+  share_links();
   for (auto& [service, queue] : queues_)
     pump_queue(queue, now);
 }
 
+/// Activations between zones share links with those of all other VMs.
+auto front_server::share_links() -> void {
+  if (!table_) return;
+  double mbps = 0;
+  for (const auto& [name, service] : table_->config().services)
+    if (service.engine) mbps = std::max(mbps, service.engine->zone_link_mbps);
+  constexpr double bits_per_byte = 8;
+  router_.set_crossing_rate(link_share * mbps / bits_per_byte /
+                            static_cast<double>(control_.vm_count()));
+}
+
 auto front_server::still_allowed(const front_request& request) const -> bool {
   const auto& given = request.parameters();
   if (given.account.empty()) return true;
--- a/src/front_server.hpp
+++ b/src/front_server.hpp
@@ -67,6 +67,7 @@
   auto queue_of(const std::string& service) -> fair_queue&;
   auto schedule_pump() -> void;
   auto pump() -> void;
+  auto share_links() -> void;
   auto pump_queue(fair_queue& queue, instant now) -> void;
   auto refuse_overdue(instant now) -> void;
   auto tick() -> void;
--- a/src/route.cpp
+++ b/src/route.cpp
@@ -17,6 +17,8 @@
 // An endpoint that had no place is left alone for this long, and up to as
 // long again by chance, so that the VMs do not return together.
 constexpr auto busy_pause = milliseconds(5);
+/// Seconds of the rate that may be saved up for crossings.
+constexpr double crossing_burst_s = 1;
 constexpr auto most_busy_pause = milliseconds(500);
 constexpr std::size_t most_links = 20000;
 
@@ -72,6 +74,9 @@
   std::map<std::pair<std::string, std::string>, duration> zone_links;
   std::map<std::pair<std::string, std::string>, duration> slow_links;
   std::uint64_t turn = 0;
+  double crossing_rate = 0;  // MB a second
+  double crossing_mb = 0;    // saved up
+  instant crossing_at{};
 
   auto first_window(const endpoint_view& view) const -> double {
     return std::max(1.0, std::ceil(static_cast<double>(view.slots) /
@@ -154,9 +159,7 @@
   auto link_cost(const endpoint_view& from, const endpoint_view& to) const
       -> double {
     if (!std::holds_alternative<policy_predicted>(options.policy)) return 0;
-    const auto crossing =
-        from.zone == to.zone ? duration::zero() : options.crossing_cost;
-    return seconds(link_time(from, to) + crossing);
+    return seconds(link_time(from, to));
   }
 
   /// A few usable endpoints of a range, drawn so that VMs which see the same
@@ -193,6 +196,55 @@
     return longer;
   }
 
+  static auto in_zone_of(const partial_chain& head, const endpoint_entry& next)
+      -> bool {
+    return head.stages.empty() ||
+           head.stages.back().first->view->zone == next.view->zone;
+  }
+
+  auto refill_crossing(instant now) -> void {
+    crossing_mb = std::min(crossing_burst_s * crossing_rate,
+                           crossing_mb +
+                               crossing_rate * seconds(now - crossing_at));
+    crossing_at = now;
+  }
+
+  /// Takes what the chain's crossings need from this VM's part of the links;
+  /// false if it is used up.
+  auto pay_crossings(const chain& stages, double mb, instant now) -> bool {
+    double crossings = 0;
+    for (std::size_t i = 1; i < stages.size(); ++i)
+      if (stages[i].endpoint->zone != stages[i - 1].endpoint->zone)
+        ++crossings;
+    if (crossings == 0 || mb == 0) return true;
+    refill_crossing(now);
+    if (crossing_mb <= 0) return false;
+    crossing_mb -= crossings * mb;  // may go below 0: requests are large
+    return true;
+  }
+
+  auto to_chain(const partial_chain& partial) const -> chain {
+    chain stages;
+    for (const auto& [entry, layers] : partial.stages)
+      stages.push_back({entry->view, layers.first, layers.second});
+    return stages;
+  }
+
+  /// A chain in one zone, or else one that crosses while the links have room.
+  auto choose(const range_groups& groups, const chain_request& request,
+              instant now) -> std::optional<chain> {
+    auto near = request;
+    near.one_zone = request.crossing_mb > 0;
+    auto best = best_chain(groups, near, now);
+    if (best || !near.one_zone) return best ? std::optional(to_chain(*best))
+                                            : std::nullopt;
+    best = best_chain(groups, request, now);
+    if (!best) return std::nullopt;
+    auto stages = to_chain(*best);
+    if (!pay_crossings(stages, request.crossing_mb, now)) return std::nullopt;
+    return stages;
+  }
+
   static auto keep_best(std::vector<partial_chain>& chains, partial_chain added)
       -> void {
     const auto at = std::upper_bound(
@@ -221,7 +273,9 @@
         const range layers{boundary, std::min(held.second, span.second)};
         for (auto* entry : sample(group, request, now))
           for (const auto& head : it->second)
-            keep_best(reached[layers.second], extend(head, entry, layers, now));
+            if (!request.one_zone || in_zone_of(head, *entry))
+              keep_best(reached[layers.second],
+                        extend(head, entry, layers, now));
       }
     }
     const auto whole = reached.find(span.second);
@@ -373,22 +427,23 @@
   if (groups == impl_->pipelines.end())
     return fail("route.choose", request.pipeline, "no endpoints");
   ++impl_->turn;
-  auto best = impl_->best_chain(groups->second, request, now);
+  auto stages = impl_->choose(groups->second, request, now);
   // Ejected endpoints are better than a layer that nobody holds.
-  if (!best && !impl::covered(groups->second, request.layers, now)) {
+  if (!stages && !impl::covered(groups->second, request.layers, now)) {
     auto wider = request;
     wider.use_ejected = true;
-    best = impl_->best_chain(groups->second, wider, now);
+    stages = impl_->choose(groups->second, wider, now);
   }
-  if (!best)
+  if (!stages)
     return fail("route.choose", request.pipeline,
                 "no free chain over all layers");
-  chain stages;
-  for (const auto& [entry, layers] : best->stages)
-    stages.push_back({entry->view, layers.first, layers.second});
   return stages;
 }
 
+auto router::set_crossing_rate(double mb_per_s) -> void {
+  impl_->crossing_rate = mb_per_s;
+}
+
 auto router::replace_stage(const chain& stages, const std::string& lost,
                            const chain_request& request, instant now)
     -> std::optional<chain> {
@@ -412,6 +467,8 @@
     for (const auto& [entry, layers] : part->stages)
       mended.push_back({entry->view, layers.first, layers.second});
   }
+  if (!impl_->pay_crossings(mended, request.crossing_mb, now))
+    return std::nullopt;
   return mended;
 }
 
