--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -105,7 +105,8 @@
     while (missing(count_))
       if (!use_idle() && !use_redundant() &&
           !use_neighbour(options_.least_tokens) &&
-          !use_neighbour(options_.last_tokens))
+          !use_neighbour(options_.last_tokens) &&
+          !use_shift(options_.least_tokens) && !use_shift(options_.last_tokens))
         break;
     // Runners that hold nothing double what is held least.
     if (!missing(count_))
@@ -181,6 +182,47 @@
     return false;
   }
 
+  /// The runner whose layers begin (or end) at a boundary and may be changed.
+  auto next_to(std::int32_t boundary, bool above) const
+      -> const placed_runner* {
+    for (const auto* runner : runners_)
+      if (!runner->held.empty() && free(*runner) &&
+          (above ? runner->held.from : runner->held.to) == boundary)
+        return runner;
+    return nullptr;
+  }
+
+  /// Where the neighbours of a gap have no room, moves their layers towards it
+  /// and closes it at the next runner that has some.
+  auto use_shift(double tokens) -> bool {
+    const auto gap = weakest_span(room_);
+    return shift_towards(gap, tokens, true) ||
+           shift_towards(gap, tokens, false);
+  }
+
+  auto shift_towards(layer_span gap, double tokens, bool above) -> bool {
+    std::vector<const placed_runner*> moved;
+    auto boundary = above ? gap.to : gap.from;
+    while (const auto* runner = next_to(boundary, above)) {
+      const auto room =
+          most_layers(engine_, runner->kind, tokens) - runner->held.size();
+      const auto amount = std::min(room, gap.size());
+      if (amount > 0) return shift(moved, *runner, above ? -amount : amount);
+      moved.push_back(runner);
+      boundary = above ? runner->held.to : runner->held.from;
+    }
+    return false;
+  }
+
+  auto shift(const std::vector<const placed_runner*>& moved,
+             const placed_runner& extended, std::int32_t by) -> bool {
+    for (const auto* runner : moved)
+      change(*runner, {runner->held.from + by, runner->held.to + by});
+    auto given = extended.held;
+    (by < 0 ? given.from : given.to) += by;
+    return change(extended, given);
+  }
+
   /// Runners that hold more than their share give up what others hold, too.
   auto relieve() -> void {
     for (const auto* runner : runners_) {
--- /dev/null
+++ b/test/placement_test.cpp
@@ -0,0 +1,247 @@
+#include "pollenloft/placement.hpp"
+
+#include <algorithm>
+
+#include "property.hpp"
+
+namespace pollenloft::test {
+namespace {
+
+auto engine() -> engine_profile {
+  engine_profile made;
+  made.layers = 80;
+  made.layer_mb = 1750;
+  made.cache_bytes = 590000;
+  made.accelerators = {{"large", {72000, 1.4, 1}},
+                       {"middle", {36000, 3.1, 3.2}},
+                       {"small", {21600, 16, 8.2}},
+                       {"tiny", {14400, 15, 15}}};
+  return made;
+}
+
+/// A fleet of three zones with few fast and many slow runners.
+auto fleet() -> std::vector<placed_runner> {
+  const auto profile = engine();
+  std::vector<placed_runner> runners;
+  const auto add = [&](const std::string& zone, const std::string& kind,
+                       int count) {
+    for (int i = 0; i < count; ++i) {
+      placed_runner made;
+      made.id = zone + "-" + kind + "-" + std::to_string(i);
+      made.zone = zone;
+      made.kind = profile.accelerators.at(kind);
+      runners.push_back(std::move(made));
+    }
+  };
+  add("z1", "large", 1);
+  add("z1", "middle", 1);
+  add("z1", "small", 5);
+  add("z1", "tiny", 7);
+  add("z2", "middle", 1);
+  add("z2", "small", 8);
+  add("z2", "tiny", 3);
+  add("z3", "middle", 2);
+  add("z3", "small", 4);
+  add("z3", "tiny", 7);
+  return runners;
+}
+
+auto carry_out(std::vector<placed_runner>& runners, const layer_plan& plan)
+    -> void {
+  for (auto& runner : runners) {
+    const auto found = plan.find(runner.id);
+    if (found != plan.end()) runner.held = found->second;
+  }
+}
+
+auto missing_in(const std::vector<placed_runner>& runners,
+                const std::string& zone) -> int {
+  int missing = 0;
+  for (std::int32_t layer = 0; layer < engine().layers; ++layer)
+    missing += std::none_of(runners.begin(), runners.end(),
+                            [&](const auto& runner) {
+                              return runner.zone == zone &&
+                                     runner.held.covers(layer);
+                            })
+                   ? 1
+                   : 0;
+  return missing;
+}
+
+auto fits(const std::vector<placed_runner>& runners) -> bool {
+  return std::all_of(runners.begin(), runners.end(), [](const auto& runner) {
+    return runner.held.from >= 0 && runner.held.to <= engine().layers &&
+           engine().layer_mb * runner.held.size() <= runner.kind.memory_mb;
+  });
+}
+
+auto settle(std::vector<placed_runner>& runners) -> int {
+  int rounds = 0;
+  for (; rounds < 20; ++rounds) {
+    const auto plan = plan_repair(engine(), runners, {});
+    if (plan.empty()) break;
+    carry_out(runners, plan);
+  }
+  return rounds;
+}
+
+}  // namespace
+
+class placement_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(placement_test);
+  CPPUNIT_TEST(each_zone_holds_every_layer);
+  CPPUNIT_TEST(room_for_requests_is_left);
+  CPPUNIT_TEST(nothing_changes_when_all_is_well);
+  CPPUNIT_TEST(any_one_loss_is_repaired_in_its_zone);
+  CPPUNIT_TEST(second_loss_after_the_first_is_repaired);
+  CPPUNIT_TEST(returned_runner_relieves_its_neighbours);
+  CPPUNIT_TEST(runner_under_an_order_is_left_alone);
+  CPPUNIT_TEST(layers_still_loading_relieve_nobody);
+  CPPUNIT_TEST(leaders_decide_alike);
+  CPPUNIT_TEST(fuzz_losses_and_returns);
+  CPPUNIT_TEST_SUITE_END();
+
+  static auto placed() -> std::vector<placed_runner> {
+    auto runners = fleet();
+    carry_out(runners, plan_first(engine(), runners, {}));
+    return runners;
+  }
+
+ public:
+  auto each_zone_holds_every_layer() -> void {
+    const auto runners = placed();
+    for (const auto* zone : {"z1", "z2", "z3"})
+      CPPUNIT_ASSERT_EQUAL(0, missing_in(runners, zone));
+    CPPUNIT_ASSERT(fits(runners));
+  }
+
+  /// A calm zone has about 60,000 tokens of requests under way at once.
+  auto room_for_requests_is_left() -> void {
+    constexpr double calm_tokens = 60000;
+    for (const auto& runner : placed())
+      if (!runner.held.empty())
+        CPPUNIT_ASSERT(room_for_tokens(engine(), runner.kind,
+                                       runner.held.size()) >= calm_tokens);
+  }
+
+  auto nothing_changes_when_all_is_well() -> void {
+    auto runners = placed();
+    settle(runners);
+    CPPUNIT_ASSERT(plan_repair(engine(), runners, {}).empty());
+  }
+
+  auto any_one_loss_is_repaired_in_its_zone() -> void {
+    const auto whole = placed();
+    for (std::size_t lost = 0; lost < whole.size(); ++lost) {
+      auto runners = whole;
+      const auto zone = runners[lost].zone;
+      runners.erase(runners.begin() + static_cast<std::ptrdiff_t>(lost));
+      settle(runners);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(whole[lost].id, 0,
+                                   missing_in(runners, zone));
+      CPPUNIT_ASSERT(fits(runners));
+    }
+  }
+
+  auto second_loss_after_the_first_is_repaired() -> void {
+    auto runners = placed();
+    for (const auto* lost : {"z1-small-1", "z1-tiny-2"}) {
+      runners.erase(
+          std::find_if(runners.begin(), runners.end(),
+                       [&](const auto& each) { return each.id == lost; }));
+      settle(runners);
+      CPPUNIT_ASSERT_EQUAL(0, missing_in(runners, "z1"));
+    }
+  }
+
+  auto returned_runner_relieves_its_neighbours() -> void {
+    auto runners = placed();
+    settle(runners);
+    const auto least_room = [&] {
+      double least = 1e9;
+      for (const auto& runner : runners)
+        if (runner.zone == "z2" && !runner.held.empty())
+          least = std::min(least, room_for_tokens(engine(), runner.kind,
+                                                  runner.held.size()));
+      return least;
+    };
+    const auto before = least_room();
+    auto returned = *std::find_if(
+        runners.begin(), runners.end(),
+        [](const auto& each) { return each.id == "z2-small-3"; });
+    runners.erase(
+        std::find_if(runners.begin(), runners.end(),
+                     [](const auto& each) { return each.id == "z2-small-3"; }));
+    settle(runners);
+    const auto squeezed = least_room();
+    CPPUNIT_ASSERT(squeezed < before);
+    returned.held = {};
+    runners.push_back(returned);
+    settle(runners);
+    CPPUNIT_ASSERT(least_room() > squeezed);
+  }
+
+  auto runner_under_an_order_is_left_alone() -> void {
+    auto runners = placed();
+    for (auto& runner : runners)
+      runner.busy = true;
+    runners.erase(runners.begin());
+    CPPUNIT_ASSERT(plan_repair(engine(), runners, {}).empty());
+  }
+
+  /// A runner that is to take layers over does not have them yet.
+  auto layers_still_loading_relieve_nobody() -> void {
+    auto runners = placed();
+    settle(runners);
+    const auto lost =
+        std::find_if(runners.begin(), runners.end(),
+                     [](const auto& each) { return each.id == "z2-small-3"; });
+    auto loading = *lost;
+    loading.busy = true;
+    runners.erase(lost);
+    settle(runners);
+    runners.push_back(loading);
+    CPPUNIT_ASSERT(plan_repair(engine(), runners, {}).empty());
+    runners.back().busy = false;
+    CPPUNIT_ASSERT(!plan_repair(engine(), runners, {}).empty());
+  }
+
+  auto leaders_decide_alike() -> void {
+    auto runners = fleet();
+    const auto plan = plan_first(engine(), runners, {});
+    std::reverse(runners.begin(), runners.end());
+    CPPUNIT_ASSERT(plan == plan_first(engine(), runners, {}));
+  }
+
+  auto fuzz_losses_and_returns() -> void {
+    holds("plans fit, settle and cover what can be covered", [] {
+      auto runners = placed();
+      std::vector<placed_runner> lost;
+      for (auto code : *history()) {
+        if (code % 3 != 0 && !runners.empty()) {
+          const auto at = code / 8 % runners.size();
+          lost.push_back(runners[at]);
+          runners.erase(runners.begin() + static_cast<std::ptrdiff_t>(at));
+        }
+        if (code % 3 != 1 && !lost.empty()) {
+          lost.back().held = {};
+          runners.push_back(lost.back());
+          lost.pop_back();
+        }
+        carry_out(runners, plan_repair(engine(), runners, {}));
+        RC_ASSERT(fits(runners));
+      }
+      for (auto& runner : lost) {
+        runner.held = {};
+        runners.push_back(runner);
+      }
+      RC_ASSERT(settle(runners) < 20);
+      for (const auto* zone : {"z1", "z2", "z3"})
+        RC_ASSERT(missing_in(runners, zone) == 0);
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(placement_test);
+
+}  // namespace pollenloft::test
--- a/test/replica_test.cpp
+++ b/test/replica_test.cpp
@@ -13,8 +13,14 @@
 /// delivered, lost, doubled, crashed, frozen or wiped.
 class fake_cluster {
  public:
-  explicit fake_cluster(std::size_t size, std::uint64_t seed = 1)
-      : seed_(seed), nodes_(size) {
+  /// `losses` disks may be lost at once; the first group is the first `seeds`
+  /// replicas, or all.
+  explicit fake_cluster(std::size_t size, std::uint64_t seed = 1,
+                        std::size_t losses = 1, std::size_t seeds = 0)
+      : seed_(seed),
+        losses_(losses),
+        seeds_(seeds == 0 ? size : seeds),
+        nodes_(size) {
     for (std::size_t i = 0; i < size; ++i)
       boot(i);
   }
@@ -31,8 +37,10 @@
   auto boot(std::size_t i) -> void {
     replica_options options;
     options.id = static_cast<replica_id>(i + 1);
-    for (std::size_t k = 0; k < nodes_.size(); ++k)
+    for (std::size_t k = 0; k < seeds_; ++k)
       options.members.push_back(static_cast<replica_id>(k + 1));
+    options.least_copies = losses_ + 1;
+    options.may_form = boots_ < nodes_.size();  // as the platform says it
     options.seed = seed_ + boots_++;
     auto& at = nodes_[i];
     at.applied.clear();
@@ -187,13 +195,14 @@
     }
   }
 
-  /// A disk may be lost while every other one is whole.
+  /// A disk may be lost while fewer than the tolerated number are.
   auto may_wipe(std::size_t i) const -> bool {
+    std::size_t lost = 0;
     for (std::size_t k = 0; k < nodes_.size(); ++k) {
       const auto& hard = nodes_[k].disk.hard;
-      if (k != i && (!hard || !hard->voting)) return false;
+      if (k != i && (!hard || !hard->voting)) ++lost;
     }
-    return true;
+    return lost < losses_;
   }
 
   auto at(std::size_t i) -> node& { return nodes_[i]; }
@@ -205,6 +214,8 @@
 
  private:
   std::uint64_t seed_;
+  std::size_t losses_;
+  std::size_t seeds_;
   std::uint64_t boots_ = 0;
   std::vector<node> nodes_;
   std::map<log_term, std::size_t> leaders_;
@@ -297,9 +308,9 @@
   }
 }
 
-auto run_history(std::size_t size, const std::vector<std::uint32_t>& steps)
-    -> void {
-  fake_cluster cluster(size, steps.size() + steps.front());
+auto run_history(std::size_t size, const std::vector<std::uint32_t>& steps,
+                 std::size_t losses = 1) -> void {
+  fake_cluster cluster(size, steps.size() + steps.front(), losses);
   cluster.settle(milliseconds(1500));
   for (std::size_t i = 0; i < steps.size(); ++i) {
     if (steps[i] % 16 == 0)
@@ -342,6 +353,11 @@
   CPPUNIT_TEST(recovery_needs_a_majority_of_the_others);
   CPPUNIT_TEST(fuzz_three);
   CPPUNIT_TEST(fuzz_five);
+  CPPUNIT_TEST(fuzz_five_with_two_disks_lost);
+  CPPUNIT_TEST(entry_commits_on_enough_disks);
+  CPPUNIT_TEST(grows_from_the_first_group);
+  CPPUNIT_TEST(empty_replica_does_not_form_a_system_unasked);
+  CPPUNIT_TEST(lost_disk_learns_the_present_members);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -598,6 +614,71 @@
           [] { run_history(3, *history()); });
   }
 
+  auto fuzz_five_with_two_disks_lost() -> void {
+    holds("five replicas agree while two disks at once are lost",
+          [] { run_history(5, *history(), 2); });
+  }
+
+  auto entry_commits_on_enough_disks() -> void {
+    fake_cluster cluster(3, 1, 2);
+    cluster.settle(milliseconds(1500));
+    const auto leader = *cluster.leader();
+    cluster.at((leader + 1) % 3).cut = true;
+    cluster.propose(leader, "needs three");
+    cluster.settle(milliseconds(300));
+    CPPUNIT_ASSERT(cluster.committed.back() != "needs three");
+    cluster.heal();
+    cluster.settle(milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(std::string("needs three"), cluster.committed.back());
+  }
+
+  static auto grow_to_five(fake_cluster& cluster) -> std::size_t {
+    cluster.settle(milliseconds(1500));
+    const auto leader = *cluster.leader();
+    for (replica_id added = 4; added <= 5; ++added) {
+      auto members = cluster.at(leader).live->members();
+      members.push_back(added);
+      CPPUNIT_ASSERT(
+          cluster.at(leader).live->propose_members(members, cluster.now));
+      cluster.carry_out(leader);
+      cluster.settle(milliseconds(1000));
+    }
+    return leader;
+  }
+
+  auto grows_from_the_first_group() -> void {
+    fake_cluster cluster(5, 1, 2, 3);
+    const auto leader = grow_to_five(cluster);
+    cluster.propose(leader, "for all");
+    cluster.settle(milliseconds(500));
+    for (std::size_t i = 0; i < 5; ++i) {
+      CPPUNIT_ASSERT(cluster.at(i).live->voting());
+      CPPUNIT_ASSERT(cluster.at(i).live->is_member(4));
+      CPPUNIT_ASSERT_EQUAL(std::string("for all"),
+                           cluster.at(i).applied.back());
+    }
+  }
+
+  auto empty_replica_does_not_form_a_system_unasked() -> void {
+    fake_cluster cluster(3);
+    for (std::size_t i = 0; i < 3; ++i)
+      cluster.wipe(i);  // started again, which is no first start
+    cluster.settle(milliseconds(3000));
+    CPPUNIT_ASSERT(!cluster.leader());
+  }
+
+  /// Its settings name the first three, of which two alone may not know the
+  /// newest term of five.
+  auto lost_disk_learns_the_present_members() -> void {
+    fake_cluster cluster(5, 1, 2, 3);
+    grow_to_five(cluster);
+    cluster.wipe(0);
+    cluster.settle(milliseconds(100));
+    CPPUNIT_ASSERT(cluster.at(0).live->is_member(5));
+    cluster.settle(milliseconds(2000));
+    CPPUNIT_ASSERT(cluster.at(0).live->voting());
+  }
+
   auto fuzz_five() -> void {
     holds("five replicas agree with the list of commands",
           [] { run_history(5, *history()); });
