--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -18,6 +18,10 @@
 /// Unread bytes of a slow caller after which the stream is given up.
 constexpr std::size_t most_unread = 1024 * 1024;
 constexpr std::size_t most_event_bytes = 1024 * 1024;
+/// Callers leave a stream that pauses for two seconds; the time until a loss is
+/// noticed and until new stages have read the tokens comes off that.
+constexpr auto mend_patience = milliseconds(900);
+constexpr auto mend_pause = milliseconds(100);
 constexpr double bytes_per_mb = 1e6;
 constexpr std::int32_t most_urgency = 9;
 /// Refusals for want of room come at once.
@@ -305,6 +309,7 @@
 auto front_request::free_places(dispatch_result result,
                                 const std::string& at_fault) -> void {
   stall_ = timer();
+  mend_ = timer();
   if (!placed_) return;
   placed_ = false;
   host_.routes().ended(stages_, suspect_, result, at_fault,
@@ -335,7 +340,25 @@
                   [&](const auto& stage) { return stage.endpoint->id == id; });
   if (!affected || !given_.route->may_repeat()) return;
   avoid_.insert(id);
-  if (!mend_chain(id)) stalled();
+  mend_or_leave(id, boottime_clock::now() + mend_patience);
+}
+
+/// The lost layers are being loaded elsewhere in the zone: waiting for them
+/// costs less than to read prompt and answer anew on another chain.
+auto front_request::mend_or_leave(const std::string& lost, instant until)
+    -> void {
+  if (!placed_ || mend_chain(lost)) return;
+  const auto can_wait = given_.engine != nullptr && events_ > 0 &&
+                        stages_.front().endpoint->id != lost &&
+                        boottime_clock::now() < until;
+  if (!can_wait) return stalled();
+  const auto attempt = life_.attempt();
+  mend_ = host_.loop().after(
+      mend_pause, [self = weak_from_this(), lost, until, attempt] {
+        auto held = self.lock();
+        if (held && held->life_.attempt() == attempt)
+          held->mend_or_leave(lost, until);
+      });
 }
 
 /// The runner at the head keeps the request; the new stages read the tokens so
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -108,6 +108,8 @@
   auto stalled() -> void;
   /// Replaces one stage of a stream under way; false if nobody can take it.
   auto mend_chain(const std::string& lost) -> bool;
+  /// Mends the chain now, soon, or not at all.
+  auto mend_or_leave(const std::string& lost, instant until) -> void;
   auto take_chain_order(std::size_t attempt, const call_result& result) -> void;
   auto reply_kept(const kept_answer& answer) -> void;
   auto reply_own(int status) -> void;
@@ -122,6 +124,7 @@
   conversation_ptr conversation_;
   timer deadline_;
   timer stall_;
+  timer mend_;
   std::set<std::string> avoid_;  // endpoints that failed this request
   instant dispatched_{};
   bool placed_ = false;
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -9,6 +9,11 @@
 namespace {
 
 constexpr double bytes_per_mb = 1e6;
+/// A runner with less than this part of the room that the zone could have on
+/// every layer is worth relieving.
+constexpr double squeezed_share = 0.8;
+/// Least gain in room for which layers are loaded once more.
+constexpr double ease_gain = 1.15;
 /// Layers with up to this much more room than the weakest one are as weak.
 constexpr double weak_factor = 1.3;
 
@@ -113,6 +118,7 @@
       while (use_idle()) {
       }
     relieve();
+    if (changes_.empty() && !missing(count_)) ease();
     return std::move(changes_);
   }
 
@@ -223,14 +229,58 @@
     return change(extended, given);
   }
 
-  /// Runners that hold more than their share give up what others hold, too.
+  auto room_of(const placed_runner& runner, std::int32_t layers) const
+      -> double {
+    return room_for_tokens(engine_, runner.kind, layers);
+  }
+
+  auto squeezed(const placed_runner& runner, std::int32_t layers) const
+      -> bool {
+    return layers > 1 && room_of(runner, layers) < squeezed_share * tokens_;
+  }
+
+  /// Lets the neighbour of a squeezed runner hold some of its layers, too; once
+  /// they are loaded the squeezed one gives them up. No layer is ever missing
+  /// meanwhile, unlike with a shift.
+  auto ease() -> void {
+    for (const auto* runner : runners_) {
+      if (!free(*runner) || !squeezed(*runner, runner->held.size())) continue;
+      const auto* below = next_to(runner->held.from, false);
+      const auto* above = next_to(runner->held.to, true);
+      if ((below != nullptr && ease_by(*runner, *below, true)) ||
+          (above != nullptr && ease_by(*runner, *above, false)))
+        return;
+    }
+  }
+
+  auto ease_by(const placed_runner& runner, const placed_runner& neighbour,
+               bool below) -> bool {
+    std::int32_t best = 0;
+    auto best_room = ease_gain * room_of(runner, runner.held.size());
+    for (std::int32_t layers = 1; layers < runner.held.size(); ++layers) {
+      const auto room =
+          std::min(room_of(neighbour, neighbour.held.size() + layers),
+                   room_of(runner, runner.held.size() - layers));
+      if (room <= best_room) continue;
+      best_room = room;
+      best = layers;
+    }
+    if (best == 0) return false;
+    auto given = neighbour.held;
+    if (below)
+      given.to += best;
+    else
+      given.from -= best;
+    return change(neighbour, given);
+  }
+
+  /// Squeezed runners give up what others hold, too.
   auto relieve() -> void {
     for (const auto* runner : runners_) {
       if (!free(*runner)) continue;
-      const auto most = most_layers(engine_, runner->kind, tokens_);
       auto kept = runner->held;
       const auto spare = [&](std::int32_t layer) {
-        return kept.size() > std::max(most, 1) &&
+        return squeezed(*runner, kept.size()) &&
                settled_[static_cast<std::size_t>(layer)] > 1;
       };
       while (spare(kept.from))
