Settle placements: of two holders the one with less room gives a layer up

Cause: an eased neighbour became the squeezed one and gave the layer back, for ever (placement_test's fuzz, failing first).

--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -274,6 +274,18 @@
     return change(neighbour, given);
   }
 
+  /// Of two that hold a layer only the one with less room gives it up.
+  auto held_with_more_room(const placed_runner& runner,
+                           std::int32_t layer) const -> bool {
+    const auto own = room_of(runner, runner.held.size());
+    return std::any_of(runners_.begin(), runners_.end(),
+                       [&](const auto* other) {
+                         return other != &runner && !other->busy &&
+                                other->held.covers(layer) &&
+                                room_of(*other, other->held.size()) > own;
+                       });
+  }
+
   /// Squeezed runners give up what others hold, too.
   auto relieve() -> void {
     for (const auto* runner : runners_) {
@@ -281,7 +293,8 @@
       auto kept = runner->held;
       const auto spare = [&](std::int32_t layer) {
         return squeezed(*runner, kept.size()) &&
-               settled_[static_cast<std::size_t>(layer)] > 1;
+               settled_[static_cast<std::size_t>(layer)] > 1 &&
+               held_with_more_room(*runner, layer);
       };
       while (spare(kept.from))
         --settled_[static_cast<std::size_t>(kept.from++)];
