--- a/include/pollenloft/route.hpp
+++ b/include/pollenloft/route.hpp
@@ -29,7 +29,7 @@
   std::int32_t last_layer = 1;  ///< one past the last
   std::int32_t slots = 1;       ///< requests it takes at once
   duration layer_time{};        ///< known for its kind; 0 if it must be learned
-  double fill = 0;  ///< share of its memory for requests that is taken
+  double fill = 0;      ///< share of its memory for requests that is taken
   double slowdown = 1;  ///< above 1 it is so many times slower than its kind
 };
 
@@ -90,7 +90,7 @@
   std::int32_t layers = 1;
   bool suspect = false;  ///< was on an endpoint that crashed
   const std::set<std::string>* avoid = nullptr;  ///< endpoint ids
-  double reserve = 0;        ///< share of each endpoint's places left to others
+  double reserve = 0;  ///< share of each endpoint's places left to others
   /// Activations that a crossing between zones carries for this request.
   double crossing_mb = 0;
   bool use_ejected = false;  ///< set by the router itself
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -94,8 +94,7 @@
         no_lease_wait_(given.text("switch-off") == "lease-wait"),
         replica_(make_options(given), disk_.take_found(),
                  boottime_clock::now()),
-        placer_(loop_, client_, directory_,
-                given.millis("report-period-ms")) {
+        placer_(loop_, client_, directory_, given.millis("report-period-ms")) {
     if (!given.text("platform-listen").empty())
       gateway_ = std::make_unique<control_gateway>(
           loop_, *this, given.address("platform-listen"),
@@ -132,9 +131,8 @@
   }
   auto leader_in_reach() const -> bool override {
     if (replica_.role() == replica_role::leader) return in_charge();
-    return replica_.leader() != 0 && boottime_clock::now() -
-                                             replica_.last_contact() <
-                                         leader_patience;
+    return replica_.leader() != 0 &&
+           boottime_clock::now() - replica_.last_contact() < leader_patience;
   }
   auto leader_host() const -> std::string override {
     const auto address = peer_address(replica_.leader());
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -94,7 +94,8 @@
   wanted.pipeline = given_.service;
   if (given_.engine != nullptr) {
     wanted.layers = given_.engine->layers;
-    wanted.crossing_mb = cost() * given_.engine->activation_bytes / bytes_per_mb;
+    wanted.crossing_mb =
+        cost() * given_.engine->activation_bytes / bytes_per_mb;
   }
   wanted.suspect = suspect_;
   wanted.avoid = &avoid_;
@@ -204,8 +205,8 @@
   }
   if (!whole.empty()) pass_on(whole);
   if (gap && placed_)
-    attempt_failed({"answer.event", stages_.front().endpoint->id,
-                    "an event is missing"});
+    attempt_failed(
+        {"answer.event", stages_.front().endpoint->id, "an event is missing"});
 }
 
 auto front_request::pass_on(const std::string& events) -> void {
@@ -271,8 +272,7 @@
   // A runner that does not hold its part, or whose refusal took as long as a
   // dead neighbour's silence, is left alone; one without room comes back soon.
   const auto slow = boottime_clock::now() - dispatched_ > slow_refusal;
-  const auto full =
-      (answer_.status == 503 || answer_.status == 429) && !slow;
+  const auto full = (answer_.status == 503 || answer_.status == 429) && !slow;
   log_event(log_level::info, "request.refused_by_endpoint",
             {{"id", given_.headers.request_id},
              {"attempt", life_.attempt()},
@@ -359,12 +359,12 @@
                         boottime_clock::now() < until;
   if (!can_wait) return stalled();
   const auto attempt = life_.attempt();
-  mend_ = host_.loop().after(
-      mend_pause, [self = weak_from_this(), lost, until, attempt] {
-        auto held = self.lock();
-        if (held && held->life_.attempt() == attempt)
-          held->mend_or_leave(lost, until);
-      });
+  mend_ = host_.loop().after(mend_pause,
+                             [self = weak_from_this(), lost, until, attempt] {
+                               auto held = self.lock();
+                               if (held && held->life_.attempt() == attempt)
+                                 held->mend_or_leave(lost, until);
+                             });
 }
 
 /// The runner at the head keeps the request; the new stages read the tokens so
@@ -390,8 +390,8 @@
       platform::encode_chain_order(given_.headers.request_id, stages_),
       {{},
        {},
-       [self = weak_from_this(), attempt = life_.attempt()](
-           const auto& result, auto /*body*/) {
+       [self = weak_from_this(), attempt = life_.attempt()](const auto& result,
+                                                            auto /*body*/) {
          if (auto held = self.lock()) held->take_chain_order(attempt, result);
        }});
   return true;
--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -238,8 +238,11 @@
     -> void {
   const auto& given = request->parameters();
   auto& queue = queue_of(given.service);
-  const queued_request item{given.id,       given.account,   1,
-                            given.priority, request->cost(),
+  const queued_request item{given.id,
+                            given.account,
+                            1,
+                            given.priority,
+                            request->cost(),
                             given.arrived + wait_limit(*given.route)};
   if (again) {
     queue.requeue(item);
--- a/src/layer_placer.cpp
+++ b/src/layer_placer.cpp
@@ -70,8 +70,7 @@
   if (kind != engine.accelerators.end()) placed.kind = kind->second;
   placed.held = {book.state->first_layer, book.state->last_layer};
   if (book.wanted) placed.held = *book.wanted;
-  placed.busy = book.wanted.has_value() || book.ordering ||
-                book.state->busy ||
+  placed.busy = book.wanted.has_value() || book.ordering || book.state->busy ||
                 boottime_clock::now() < book.wait_until;
   return placed;
 }
@@ -133,8 +132,7 @@
     zone.fullest_id = runner.id;
   }
   for (const auto& [name, zone] : zones) {
-    const auto least =
-        std::min_element(zone.tokens.begin(), zone.tokens.end());
+    const auto least = std::min_element(zone.tokens.begin(), zone.tokens.end());
     log_event(
         log_level::info, "layers.summary",
         {{"zone", name},
@@ -155,8 +153,7 @@
     book.incarnation = record.incarnation;
   }
   const auto accused = now - book.accused < accusation_life;
-  const auto period =
-      book.wanted || accused ? look_period_busy : look_period;
+  const auto period = book.wanted || accused ? look_period_busy : look_period;
   if (book.asking && accused && now - book.asked > accused_patience)
     note_lost(record.id, false);
   if (book.asking || now - book.asked < period) return;
@@ -220,8 +217,7 @@
   ++book.misses;
   book.asked = {};
   const auto refused = std::holds_alternative<call_unsent>(result);
-  const auto accused =
-      boottime_clock::now() - book.accused < accusation_life;
+  const auto accused = boottime_clock::now() - book.accused < accusation_life;
   const auto most = accused ? misses_to_lose_accused : misses_to_lose;
   if (book.misses >= most || refused) note_lost(id, refused);
 }
@@ -231,14 +227,14 @@
   if (book.lost) return;
   const auto now = boottime_clock::now();
   book.lost = true;
-  log_event(log_level::warning, "runner.unreachable",
-            {{"endpoint", id},
-             {"misses", book.misses},
-             {"refused", refused},
-             {"accused", now - book.accused < accusation_life},
-             {"asked_ms_ago",
-              std::chrono::duration_cast<milliseconds>(now - book.asked)
-                  .count()}});
+  log_event(
+      log_level::warning, "runner.unreachable",
+      {{"endpoint", id},
+       {"misses", book.misses},
+       {"refused", refused},
+       {"accused", now - book.accused < accusation_life},
+       {"asked_ms_ago",
+        std::chrono::duration_cast<milliseconds>(now - book.asked).count()}});
   if (directory_.set_layers(id, 0, 0)) changed.emit(id);
 }
 
--- a/src/layer_placer.hpp
+++ b/src/layer_placer.hpp
@@ -40,7 +40,7 @@
     bool ordering = false;
     int misses = 0;  // states that did not come, in a row
     bool lost = false;
-    instant accused{};  // a neighbour's work last stood still here
+    instant accused{};     // a neighbour's work last stood still here
     instant wait_until{};  // no order before
     std::optional<layer_span> wanted;
     instant ordered{};
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -69,8 +69,8 @@
 auto weakest_span(const std::vector<double>& room) -> layer_span {
   const auto weakest = std::min_element(room.begin(), room.end());
   const auto enough = weak_factor * *weakest;
-  const auto last = std::find_if(weakest, room.end(),
-                                 [&](double tokens) { return tokens > enough; });
+  const auto last = std::find_if(
+      weakest, room.end(), [&](double tokens) { return tokens > enough; });
   return {static_cast<std::int32_t>(weakest - room.begin()),
           static_cast<std::int32_t>(last - room.begin())};
 }
--- a/src/route.cpp
+++ b/src/route.cpp
@@ -203,9 +203,9 @@
   }
 
   auto refill_crossing(instant now) -> void {
-    crossing_mb = std::min(crossing_burst_s * crossing_rate,
-                           crossing_mb +
-                               crossing_rate * seconds(now - crossing_at));
+    crossing_mb =
+        std::min(crossing_burst_s * crossing_rate,
+                 crossing_mb + crossing_rate * seconds(now - crossing_at));
     crossing_at = now;
   }
 
@@ -214,8 +214,7 @@
   auto pay_crossings(const chain& stages, double mb, instant now) -> bool {
     double crossings = 0;
     for (std::size_t i = 1; i < stages.size(); ++i)
-      if (stages[i].endpoint->zone != stages[i - 1].endpoint->zone)
-        ++crossings;
+      if (stages[i].endpoint->zone != stages[i - 1].endpoint->zone) ++crossings;
     if (crossings == 0 || mb == 0) return true;
     refill_crossing(now);
     if (crossing_mb <= 0) return false;
@@ -236,8 +235,8 @@
     auto near = request;
     near.one_zone = request.crossing_mb > 0;
     auto best = best_chain(groups, near, now);
-    if (best || !near.one_zone) return best ? std::optional(to_chain(*best))
-                                            : std::nullopt;
+    if (best || !near.one_zone)
+      return best ? std::optional(to_chain(*best)) : std::nullopt;
     best = best_chain(groups, request, now);
     if (!best) return std::nullopt;
     auto stages = to_chain(*best);
@@ -461,8 +460,8 @@
       mended.push_back(stage);
       continue;
     }
-    const auto part = impl_->best_span(groups->second, wanted,
-                                       {stage.from, stage.to}, now);
+    const auto part =
+        impl_->best_span(groups->second, wanted, {stage.from, stage.to}, now);
     if (!part) return std::nullopt;
     for (const auto& [entry, layers] : part->stages)
       mended.push_back({entry->view, layers.first, layers.second});
--- /dev/null
+++ b/test/control_gateway_test.cpp
@@ -0,0 +1,280 @@
+#include "control_gateway.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "property.hpp"
+
+namespace pollenloft::test {
+namespace {
+
+using json = nlohmann::json;
+
+const socket_address gateway_address{"127.0.9.5", 18084};
+constexpr auto period = milliseconds(100);
+
+/// A control replica that commits at once.
+class plain_control : public control_host {
+ public:
+  auto in_charge() const -> bool override { return leads; }
+  auto leader_in_reach() const -> bool override { return reach; }
+  auto leader_host() const -> std::string override { return leader; }
+  auto state() const -> const control_state& override { return state_; }
+  auto directory() -> endpoint_directory& override { return directory_; }
+  auto submit_document(wire::document_command document, committed done)
+      -> void override {
+    wire::command command;
+    command.__isset.document = true;
+    command.document = std::move(document);
+    if (commits) state_.apply(encode_wire(command));
+    done(commits);
+  }
+  auto share(wire::directory_share news) -> void override {
+    shared.push_back(std::move(news));
+  }
+  auto share_with(std::uint32_t member, wire::directory_share news)
+      -> void override {
+    told[member] = std::move(news);
+  }
+  auto directory_changed() -> void override { ++changes; }
+
+  bool leads = true;
+  bool reach = true;
+  bool commits = true;
+  std::string leader;
+  std::vector<wire::directory_share> shared;
+  std::map<std::uint32_t, wire::directory_share> told;
+  int changes = 0;
+
+ private:
+  control_state state_;
+  endpoint_directory directory_;
+};
+
+auto document(int version, int timeout = 1000) -> std::string {
+  return json{{"Version", version},
+              {"Routes",
+               {{{"Name", "r"},
+                 {"Hostname", "h"},
+                 {"PathPrefix", "/"},
+                 {"Type", "idempotent"},
+                 {"TimeoutMs", timeout},
+                 {"Backend", "app"}}}},
+              {"Services", {{{"Name", "app"}}}}}
+      .dump();
+}
+
+auto report(int sequence, const std::string& state = "ready",
+            const std::string& address = "10.0.0.9:80", int born = 1)
+    -> std::string {
+  json body{{"Backend", "app"}, {"Address", address}, {"Zone", "z"},
+            {"Slots", 6},       {"State", state},     {"Seq", sequence}};
+  if (born > 0) body["born"] = born;
+  return body.dump();
+}
+
+}  // namespace
+
+class control_gateway_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(control_gateway_test);
+  CPPUNIT_TEST(document_is_acknowledged_and_read_back_as_sent);
+  CPPUNIT_TEST(equal_or_lower_number_changes_nothing);
+  CPPUNIT_TEST(invalid_document_is_refused_whatever_its_number);
+  CPPUNIT_TEST(uncommitted_document_is_not_acknowledged);
+  CPPUNIT_TEST(follower_points_to_the_leader);
+  CPPUNIT_TEST(nobody_answers_reads_without_a_leader);
+  CPPUNIT_TEST(report_is_shared_when_it_changes_something);
+  CPPUNIT_TEST(late_report_does_not_undo_leaving);
+  CPPUNIT_TEST(report_is_refused_while_the_leader_is_out_of_reach);
+  CPPUNIT_TEST(address_belongs_to_the_latest_start);
+  CPPUNIT_TEST(displaced_endpoint_returns_by_a_report);
+  CPPUNIT_TEST(missing_reports_make_an_endpoint_silent);
+  CPPUNIT_TEST(differing_directories_converge);
+  CPPUNIT_TEST(layers_of_runners_are_the_leaders_to_note);
+  CPPUNIT_TEST_SUITE_END();
+
+  event_loop loop_;
+  std::unique_ptr<plain_control> host_;
+  std::unique_ptr<control_gateway> gateway_;
+  http_headers headers_;
+  std::string body_;
+
+ public:
+  auto setUp() -> void override {
+    host_ = std::make_unique<plain_control>();
+    gateway_ = std::make_unique<control_gateway>(loop_, *host_, gateway_address,
+                                                 period);
+    CPPUNIT_ASSERT(gateway_->start());
+  }
+  auto tearDown() -> void override { gateway_.reset(); }
+
+  auto send(const std::string& method, const std::string& path,
+            const std::string& body = "") -> int {
+    http_client client(loop_);
+    http_call call{gateway_address, method, path};
+    call.body = body;
+    int status = 0;
+    call_handlers handlers;
+    handlers.on_head = [&](int code, const auto& headers) {
+      status = code;
+      headers_ = headers;
+    };
+    handlers.on_done = [&](const auto& /*result*/, auto text) {
+      body_ = text;
+      loop_.stop();
+    };
+    const auto kept = client.send(call, handlers);
+    loop_.run();
+    return status;
+  }
+
+  auto record(const std::string& id) -> const wire::endpoint_record& {
+    return host_->directory().records().at(id);
+  }
+  auto state_of(const std::string& id) -> endpoint_state {
+    return static_cast<endpoint_state>(record(id).state);
+  }
+
+  auto document_is_acknowledged_and_read_back_as_sent() -> void {
+    CPPUNIT_ASSERT_EQUAL(503, send("GET", "/config"));
+    CPPUNIT_ASSERT_EQUAL(200, send("PUT", "/config", document(3)));
+    CPPUNIT_ASSERT_EQUAL(200, send("GET", "/config"));
+    CPPUNIT_ASSERT_EQUAL(document(3), body_);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{3}, gateway_->config()->number);
+  }
+
+  auto equal_or_lower_number_changes_nothing() -> void {
+    send("PUT", "/config", document(3));
+    CPPUNIT_ASSERT_EQUAL(200, send("PUT", "/config", document(3, 2000)));
+    CPPUNIT_ASSERT_EQUAL(200, send("PUT", "/config", document(2)));
+    send("GET", "/config");
+    CPPUNIT_ASSERT_EQUAL(document(3), body_);
+  }
+
+  auto invalid_document_is_refused_whatever_its_number() -> void {
+    send("PUT", "/config", document(3));
+    for (const auto number : {2, 3, 4})
+      CPPUNIT_ASSERT_EQUAL(400, send("PUT", "/config", document(number, 0)));
+    host_->leads = false;
+    CPPUNIT_ASSERT_EQUAL(400, send("PUT", "/config", document(5, 0)));
+  }
+
+  auto uncommitted_document_is_not_acknowledged() -> void {
+    host_->commits = false;
+    CPPUNIT_ASSERT_EQUAL(503, send("PUT", "/config", document(3)));
+  }
+
+  auto follower_points_to_the_leader() -> void {
+    host_->leads = false;
+    host_->leader = "10.0.0.4";
+    for (const auto* method : {"GET", "PUT"}) {
+      CPPUNIT_ASSERT_EQUAL(307, send(method, "/config", document(3)));
+      CPPUNIT_ASSERT(headers_.find("Location") ==
+                     "http://10.0.0.4:18084/config");
+    }
+  }
+
+  auto nobody_answers_reads_without_a_leader() -> void {
+    send("PUT", "/config", document(3));
+    host_->leads = false;
+    CPPUNIT_ASSERT_EQUAL(503, send("GET", "/config"));
+    host_->leader = gateway_address.host;  // believed to be this very one
+    CPPUNIT_ASSERT_EQUAL(503, send("GET", "/config"));
+  }
+
+  auto report_is_shared_when_it_changes_something() -> void {
+    CPPUNIT_ASSERT_EQUAL(200, send("PUT", "/instances/a", report(1)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host_->shared.size());
+    CPPUNIT_ASSERT_EQUAL(200, send("PUT", "/instances/a", report(2)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host_->shared.size());
+    send("PUT", "/instances/a", report(3, "draining"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, host_->shared.size());
+    CPPUNIT_ASSERT_EQUAL(400, send("PUT", "/instances/b", "{}"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host_->directory().size());
+  }
+
+  auto late_report_does_not_undo_leaving() -> void {
+    send("PUT", "/instances/a", report(4));
+    send("PUT", "/instances/a", report(5, "draining"));
+    send("PUT", "/instances/a", report(3));
+    CPPUNIT_ASSERT(state_of("a") == endpoint_state::leaving);
+    send("DELETE", "/instances/a");
+    send("PUT", "/instances/a", report(6));
+    CPPUNIT_ASSERT(state_of("a") == endpoint_state::gone);
+    send("PUT", "/instances/a", report(1, "ready", "10.0.0.9:80", 2));
+    CPPUNIT_ASSERT(state_of("a") == endpoint_state::up);
+  }
+
+  auto report_is_refused_while_the_leader_is_out_of_reach() -> void {
+    host_->reach = false;
+    CPPUNIT_ASSERT_EQUAL(503, send("PUT", "/instances/a", report(1)));
+    CPPUNIT_ASSERT_EQUAL(503, send("DELETE", "/instances/a"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, host_->directory().size());
+  }
+
+  auto address_belongs_to_the_latest_start() -> void {
+    send("PUT", "/instances/a", report(9, "ready", "10.0.0.9:80", 5));
+    send("PUT", "/instances/b", report(1, "ready", "10.0.0.9:80", 6));
+    CPPUNIT_ASSERT(state_of("a") == endpoint_state::gone);
+    send("PUT", "/instances/c", report(1, "ready", "10.0.0.9:80", 4));
+    CPPUNIT_ASSERT(host_->directory().records().count("c") == 0);
+    CPPUNIT_ASSERT(state_of("b") == endpoint_state::up);
+  }
+
+  /// Without times of start a late report may come from either of the two.
+  auto displaced_endpoint_returns_by_a_report() -> void {
+    send("PUT", "/instances/a", report(1, "ready", "10.0.0.9:80", 0));
+    send("PUT", "/instances/b", report(1, "ready", "10.0.0.9:80", 0));
+    CPPUNIT_ASSERT(record("a").displaced);
+    CPPUNIT_ASSERT(!record("b").displaced);
+    send("PUT", "/instances/a", report(2, "ready", "10.0.0.9:80", 0));
+    CPPUNIT_ASSERT(!record("a").displaced);
+  }
+
+  auto missing_reports_make_an_endpoint_silent() -> void {
+    send("PUT", "/instances/a", report(1));
+    const auto now = boottime_clock::now();
+    gateway_->tick(now + 2 * period);
+    CPPUNIT_ASSERT(!record("a").silent);
+    gateway_->tick(now + 5 * period);
+    CPPUNIT_ASSERT(record("a").silent);
+    CPPUNIT_ASSERT(state_of("a") == endpoint_state::up);
+    wire::directory_share news;
+    wire::heard_endpoint heard;
+    heard.id = "a";
+    news.heard = {heard};
+    gateway_->take_share(news);
+    gateway_->tick(boottime_clock::now());
+    CPPUNIT_ASSERT(!record("a").silent);
+  }
+
+  auto differing_directories_converge() -> void {
+    send("PUT", "/instances/a", report(1));
+    wire::directory_share same;
+    same.sender = 7;
+    same.digest = static_cast<std::int64_t>(host_->directory().digest());
+    gateway_->take_share(same);
+    CPPUNIT_ASSERT(host_->told.empty());
+    same.digest += 1;
+    gateway_->take_share(same);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), host_->told.at(7).records.at(0).id);
+    host_->told.clear();
+    gateway_->take_share(same);  // told a moment ago
+    CPPUNIT_ASSERT(host_->told.empty());
+  }
+
+  auto layers_of_runners_are_the_leaders_to_note() -> void {
+    auto body = json::parse(report(1));
+    body["Type"] = "l4";
+    body["Layers"] = {{"From", 0}, {"To", 8}};
+    send("PUT", "/instances/a", body.dump());
+    CPPUNIT_ASSERT_EQUAL(8, record("a").last_layer);
+    host_->directory().set_layers("a", 0, 0);  // found dead
+    body["Seq"] = 2;
+    send("PUT", "/instances/a", body.dump());
+    CPPUNIT_ASSERT_EQUAL(0, record("a").last_layer);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(control_gateway_test);
+
+}  // namespace pollenloft::test
--- a/test/control_test.cpp
+++ b/test/control_test.cpp
@@ -112,9 +112,40 @@
   CPPUNIT_TEST(orphans_are_dropped_unless_reported_again);
   CPPUNIT_TEST(fuzz_versions);
   CPPUNIT_TEST(fuzz_claims);
+  CPPUNIT_TEST(highest_document_wins_in_any_order);
+  CPPUNIT_TEST(document_survives_a_snapshot);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  static auto numbered(std::int64_t number, const std::string& text)
+      -> std::string {
+    wire::command command;
+    command.__isset.document = true;
+    command.document.number = number;
+    command.document.text = text;
+    return encode_wire(command);
+  }
+
+  auto highest_document_wins_in_any_order() -> void {
+    control_state state;
+    state.apply(numbered(4, "four"));
+    state.apply(numbered(9, "nine"));
+    state.apply(numbered(6, "six"));
+    state.apply(numbered(9, "other"));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{9}, state.document().number);
+    CPPUNIT_ASSERT_EQUAL(std::string("nine"), state.document().text);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, state.audit().size());
+  }
+
+  auto document_survives_a_snapshot() -> void {
+    control_state state;
+    state.apply(numbered(4, "four"));
+    control_state copy;
+    CPPUNIT_ASSERT(copy.load(state.save()));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{4}, copy.document().number);
+    CPPUNIT_ASSERT_EQUAL(std::string("four"), copy.document().text);
+  }
+
   auto one_racer_wins_a_base() -> void {
     control_state state;
     CPPUNIT_ASSERT(accepted(state, patch(0, "x", account("x"))));
--- a/test/front_request_test.cpp
+++ b/test/front_request_test.cpp
@@ -27,8 +27,8 @@
     loop_.post([this, request] {
       if (!request->queued()) return;
       if (before_choosing) before_choosing();
-      auto stages = router_.choose(request->chain_wanted(),
-                                   boottime_clock::now());
+      auto stages =
+          router_.choose(request->chain_wanted(), boottime_clock::now());
       if (stages) return request->dispatch(std::move(*stages));
       request->refuse(503, "no endpoint is free", milliseconds(1000));
     });
--- a/test/ingress_test.cpp
+++ b/test/ingress_test.cpp
@@ -45,7 +45,8 @@
                                route("h", "/a/b/"), route("g", "/a/b/c/")});
     CPPUNIT_ASSERT_EQUAL(std::string("h/a/b/"),
                          name_of(routes.find("h", "/a/b/c/d")));
-    CPPUNIT_ASSERT_EQUAL(std::string("h/a/"), name_of(routes.find("h", "/a/x")));
+    CPPUNIT_ASSERT_EQUAL(std::string("h/a/"),
+                         name_of(routes.find("h", "/a/x")));
     CPPUNIT_ASSERT_EQUAL(std::string("h/"), name_of(routes.find("h", "/x")));
     CPPUNIT_ASSERT_EQUAL(std::string(), name_of(routes.find("g", "/a/b/")));
     CPPUNIT_ASSERT_EQUAL(std::string(), name_of(routes.find("f", "/a/b/")));
@@ -79,8 +80,7 @@
     int few = 0;
     constexpr int draws = 1000;
     for (int i = 0; i < draws; ++i) {
-      const auto& service =
-          pick_service(split, static_cast<double>(i) / draws);
+      const auto& service = pick_service(split, static_cast<double>(i) / draws);
       CPPUNIT_ASSERT(service != "none");
       few += service == "few" ? 1 : 0;
     }
--- a/test/placement_test.cpp
+++ b/test/placement_test.cpp
@@ -58,13 +58,13 @@
                 const std::string& zone) -> int {
   int missing = 0;
   for (std::int32_t layer = 0; layer < engine().layers; ++layer)
-    missing += std::none_of(runners.begin(), runners.end(),
-                            [&](const auto& runner) {
-                              return runner.zone == zone &&
-                                     runner.held.covers(layer);
-                            })
-                   ? 1
-                   : 0;
+    missing +=
+        std::none_of(runners.begin(), runners.end(),
+                     [&](const auto& runner) {
+                       return runner.zone == zone && runner.held.covers(layer);
+                     })
+            ? 1
+            : 0;
   return missing;
 }
 
@@ -169,9 +169,9 @@
       return least;
     };
     const auto before = least_room();
-    auto returned = *std::find_if(
-        runners.begin(), runners.end(),
-        [](const auto& each) { return each.id == "z2-small-3"; });
+    auto returned =
+        *std::find_if(runners.begin(), runners.end(),
+                      [](const auto& each) { return each.id == "z2-small-3"; });
     runners.erase(
         std::find_if(runners.begin(), runners.end(),
                      [](const auto& each) { return each.id == "z2-small-3"; }));
@@ -195,12 +195,10 @@
   /// Whether the next plan takes layers from a runner.
   static auto gives_up(const std::vector<placed_runner>& runners) -> bool {
     const auto plan = plan_repair(engine(), runners, {});
-    return std::any_of(
-        runners.begin(), runners.end(), [&](const auto& runner) {
-          const auto found = plan.find(runner.id);
-          return found != plan.end() &&
-                 found->second.size() < runner.held.size();
-        });
+    return std::any_of(runners.begin(), runners.end(), [&](const auto& runner) {
+      const auto found = plan.find(runner.id);
+      return found != plan.end() && found->second.size() < runner.held.size();
+    });
   }
 
   /// A runner that is to take layers over does not have them yet.
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -158,8 +158,8 @@
   }
 
   auto unsound_reports_name_no_endpoint() -> void {
-    for (const auto* name : {"Backend", "Address", "Zone", "Slots", "State",
-                             "Seq"}) {
+    for (const auto* name :
+         {"Backend", "Address", "Zone", "Slots", "State", "Seq"}) {
       auto body = report();
       body.erase(name);
       CPPUNIT_ASSERT_MESSAGE(name, !decoded_report(body));
@@ -319,8 +319,7 @@
         const auto config = platform::decode_document(text);
         if (const auto* sound = std::get_if<ingress_config>(&config))
           for (const auto& route : sound->routes)
-            RC_ASSERT(route.timeout > milliseconds(0) &&
-                      !route.shares.empty());
+            RC_ASSERT(route.timeout > milliseconds(0) && !route.shares.empty());
         if (const auto record = platform::decode_report("i", text))
           RC_ASSERT(record->slots > 0 &&
                     record->last_layer >= record->first_layer);
--- a/test/route_test.cpp
+++ b/test/route_test.cpp
@@ -47,12 +47,136 @@
   CPPUNIT_TEST(suspects_do_not_share_an_endpoint);
   CPPUNIT_TEST(removed_endpoint_gets_no_work);
   CPPUNIT_TEST(late_end_of_an_earlier_incarnation_is_ignored);
+  CPPUNIT_TEST(whole_chain_in_another_zone_goes_before_a_crossing);
+  CPPUNIT_TEST(crossings_stop_when_the_links_are_full);
+  CPPUNIT_TEST(full_memory_takes_no_requests);
+  CPPUNIT_TEST(requests_go_where_memory_is_left);
+  CPPUNIT_TEST(slow_runner_is_left_to_its_peers);
+  CPPUNIT_TEST(refusals_in_a_row_back_off);
+  CPPUNIT_TEST(lost_stage_is_replaced_beside_the_others);
   CPPUNIT_TEST(fuzz_chains);
   CPPUNIT_TEST_SUITE_END();
 
   instant now_{std::chrono::seconds(100)};
 
  public:
+  static auto in_zone(const endpoint_view& view, const std::string& zone)
+      -> endpoint_view {
+    auto moved = view;
+    moved.zone = zone;
+    return moved;
+  }
+
+  static auto heavy() -> chain_request {
+    auto request = wanted();
+    request.crossing_mb = 28;
+    return request;
+  }
+
+  /// Zone z1 lacks half of the layers, z2 is whole and busier.
+  static auto broken_zone(route_options options) -> std::unique_ptr<router> {
+    options.zone = "z1";
+    auto routes = std::make_unique<router>(options, 1);
+    routes->upsert(runner("a", 0, 16));
+    routes->upsert(in_zone(runner("b", 0, 16), "z2"));
+    routes->upsert(in_zone(runner("c", 16, 32), "z2"));
+    return routes;
+  }
+
+  auto whole_chain_in_another_zone_goes_before_a_crossing() -> void {
+    const auto routes = broken_zone({});
+    routes->set_crossing_rate(1000);
+    for (int i = 0; i < 3; ++i) {
+      const auto stages = routes->choose(heavy(), now_);
+      CPPUNIT_ASSERT(stages && stages->front().endpoint->id == "b");
+      routes->started(*stages, false);
+    }
+  }
+
+  auto crossings_stop_when_the_links_are_full() -> void {
+    const auto routes = broken_zone({});
+    routes->remove("b");  // now every chain crosses
+    CPPUNIT_ASSERT(!routes->choose(heavy(), now_));
+    routes->set_crossing_rate(50);
+    now_ += std::chrono::seconds(1);
+    int passed = 0;
+    for (int i = 0; i < 4; ++i)
+      passed += routes->choose(heavy(), now_) ? 1 : 0;
+    CPPUNIT_ASSERT_EQUAL(2, passed);
+    now_ += std::chrono::seconds(1);
+    CPPUNIT_ASSERT(routes->choose(heavy(), now_).has_value());
+  }
+
+  auto full_memory_takes_no_requests() -> void {
+    router routes({}, 1);
+    auto full = runner("a", 0, 32);
+    full.fill = 0.95;
+    routes.upsert(full);
+    CPPUNIT_ASSERT(!routes.choose(wanted(), now_));
+    full.fill = 0.5;
+    routes.upsert(full);
+    CPPUNIT_ASSERT(routes.choose(wanted(), now_).has_value());
+  }
+
+  auto requests_go_where_memory_is_left() -> void {
+    router routes({}, 1);
+    auto filled = runner("a", 0, 32);
+    filled.fill = 0.8;
+    routes.upsert(filled);
+    routes.upsert(runner("b", 0, 32));
+    CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                         routes.choose(wanted(), now_)->front().endpoint->id);
+  }
+
+  auto slow_runner_is_left_to_its_peers() -> void {
+    router routes({}, 1);
+    auto slow = runner("a", 0, 32);
+    slow.slowdown = 5;
+    routes.upsert(slow);
+    routes.upsert(runner("b", 0, 32));
+    for (int i = 0; i < 3; ++i) {
+      const auto stages = routes.choose(wanted(), now_);
+      CPPUNIT_ASSERT_EQUAL(std::string("b"), stages->front().endpoint->id);
+      routes.started(*stages, false);
+    }
+  }
+
+  /// One refusal is a moment's want of room; an endpoint that refuses all is
+  /// about to leave.
+  auto refusals_in_a_row_back_off() -> void {
+    router routes({}, 1);
+    routes.upsert(runner("a", 0, 32));
+    int sent = 0;
+    for (int ms = 0; ms < 2000; ++ms) {
+      now_ += milliseconds(1);
+      const auto stages = routes.choose(wanted(), now_);
+      if (!stages) continue;
+      ++sent;
+      routes.started(*stages, false);
+      routes.ended(*stages, false, dispatch_result::refused, "a", now_);
+    }
+    CPPUNIT_ASSERT(sent < 15);
+  }
+
+  auto lost_stage_is_replaced_beside_the_others() -> void {
+    router routes({}, 1);
+    routes.upsert(runner("a", 0, 10));
+    routes.upsert(runner("b", 10, 20));
+    routes.upsert(runner("c", 20, 32));
+    const auto stages = *routes.choose(wanted(), now_);
+    routes.remove("b");
+    CPPUNIT_ASSERT(!routes.replace_stage(stages, "b", wanted(), now_));
+    routes.upsert(runner("d", 8, 15));
+    routes.upsert(runner("e", 12, 24));
+    const auto mended = routes.replace_stage(stages, "b", wanted(), now_);
+    CPPUNIT_ASSERT(mended && covers(*mended, 32));
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), mended->front().endpoint->id);
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), mended->back().endpoint->id);
+    std::set<std::string> ids;
+    for (const auto& stage : *mended)
+      CPPUNIT_ASSERT(ids.insert(stage.endpoint->id).second);
+  }
+
   auto covers_all_layers_without_gap_or_overlap() -> void {
     router routes({}, 1);
     routes.upsert(runner("a", 0, 16));
