Log to standard output, bounded and never blocking; watch the settings file

Lines of one event beyond 200 a second and lines that the reader has no room for are dropped and counted; latencies are histograms too, also on an address of their own.

--- a/include/pollenloft/settings.hpp
+++ b/include/pollenloft/settings.hpp
@@ -56,6 +56,7 @@
   auto plain_list(const std::string& name) const -> std::vector<socket_address>;
   auto flag(const std::string& name) const -> bool;
   auto arguments() const -> const std::vector<std::string>& { return rest_; }
+  auto operator==(const settings&) const -> bool = default;
 
  private:
   friend auto parse_settings(const std::string&, const std::vector<setting>&,
@@ -70,6 +71,30 @@
 auto parse_settings(const std::string& usage, const std::vector<setting>& known,
                     int argc, char** argv) -> std::variant<settings, int>;
 
+/// How often a running process looks whether its settings file has changed.
+constexpr auto settings_watch_period = std::chrono::seconds(2);
+
+/// Reads the settings of a running process again:
+///
+///     settings_reloader now(usage, known, argc, argv);
+///     if (const auto changed = now.changed()) apply(*changed);
+class settings_reloader {
+ public:
+  settings_reloader(std::string usage, std::vector<setting> known, int argc,
+                    char** argv);
+
+  /// The settings if they differ from those read last; faults are printed and
+  /// leave the old ones in force.
+  auto changed() -> std::optional<settings>;
+
+ private:
+  std::string usage_;
+  std::vector<setting> known_;
+  int argc_;
+  char** argv_;
+  std::variant<settings, int> last_;
+};
+
 }  // namespace pollenloft
 
 #endif
--- a/include/pollenloft/telemetry.hpp
+++ b/include/pollenloft/telemetry.hpp
@@ -30,11 +30,21 @@
   std::string value;
 };
 
-/// Sends log lines at or above `lowest` to standard error, each with a
+/// Sends log lines at or above `lowest` to standard output, each with a
 /// timestamp and the process's name. Returns false for an unknown level.
+/// Writing never blocks: a line that the reader has no room for is dropped, and
+/// so are lines of one event beyond `most_lines_per_second`. Both are counted,
+/// in `log.dropped` lines and by `dropped_log_lines`.
 auto start_logging(const std::string& process, const std::string& lowest)
     -> bool;
 
+/// Lines of one event that are written in a second; what is dropped beyond is
+/// told in the next second.
+constexpr int most_lines_per_second = 200;
+
+/// Lines dropped since the start.
+auto dropped_log_lines() -> std::uint64_t;
+
 /// Writes one line `ts=... level=... process=... event=... key=value ...`:
 ///
 ///     log_event(log_level::info, "lease.granted", {{"vm", id}});
@@ -58,7 +68,8 @@
   /// Sets a gauge.
   auto set(const std::string& name, double value,
            const std::string& labels = "") -> void;
-  /// Adds one sample to a summary with quantiles 0.5, 0.95 and 0.99.
+  /// Adds one sample to a histogram and to its summary with quantiles 0.5, 0.95
+  /// and 0.99, which is named `NAME_quantile`.
   auto observe(const std::string& name, duration sample) -> void;
   /// The estimated quantile (0.5, 0.95 or 0.99) of a summary; 0 if empty.
   auto quantile(const std::string& name, double q) const -> duration;
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -22,7 +22,7 @@
 start_process() { # NAME COMMAND...
   local name=$1
   shift
-  "$@" >>"$work/$name.out" 2>>"$work/$name.log" &
+  "$@" >>"$work/$name.log" 2>&1 &
   pids[$name]=$!
 }
 
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -50,6 +50,8 @@
      "group grows to twice as many and one"},
     {"platform-listen", "", optional_address{},
      "address for the platform's operators and endpoints"},
+    {"metrics-listen", "", optional_address{},
+     "address that serves /metrics, beside the one of --listen"},
     {"report-period-ms", "1200", number_in{50, 600000},
      "how often the platform's endpoints report themselves"},
     {"data", "", nonempty_text{}, "folder for the replicated log"},
@@ -83,6 +85,10 @@
         client_(loop),
         server_(loop, http_limits{},
                 [this](const exchange_ptr& call) { route(call); }),
+        metrics_server_(
+            loop_, http_limits{},
+            [this](const exchange_ptr& call) { show_metrics(call); }),
+        metrics_address_(parse_socket_address(given.text("metrics-listen"))),
         disk_(std::move(disk)),
         peers_(given.addresses("peers")),
         seeds_(given.plain_list("seeds")),
@@ -107,6 +113,8 @@
   auto start(const socket_address& listen) -> std::optional<bool> {
     if (!server_.listen(listen)) return std::nullopt;
     if (gateway_ && !gateway_->start()) return std::nullopt;
+    if (metrics_address_ && !metrics_server_.listen(*metrics_address_))
+      return std::nullopt;
     ticker_ = loop_.every(tick_period, [this] { tick(); });
     schedule_flush();
     return true;
@@ -780,6 +788,8 @@
   event_loop& loop_;
   http_client client_;
   http_server server_;
+  http_server metrics_server_;
+  std::optional<socket_address> metrics_address_;
   journal disk_;
   std::map<std::string, socket_address> peers_;
   std::vector<socket_address> seeds_;
@@ -851,14 +861,14 @@
   log_event(log_level::info, "started", {{"listen", given.text("listen")}});
   const auto terminate = loop.on_signal(SIGTERM, [&] { server.shut_down(); });
   const auto interrupt = loop.on_signal(SIGINT, [&] { server.shut_down(); });
-  const auto reload = loop.on_signal(SIGHUP, [&] {
-    auto again = parse_settings("pollenloft-controld [settings]",
-                                known_settings, argc, argv);
-    const auto* changed = std::get_if<settings>(&again);
-    log_event(log_level::info, "settings.reloaded",
-              {{"sound", changed != nullptr}});
-    if (changed != nullptr) server.set_seeds(changed->plain_list("seeds"));
-  });
+  settings_reloader settings_now("pollenloft-controld [settings]",
+                                 known_settings, argc, argv);
+  const auto reload = [&] {
+    if (const auto changed = settings_now.changed())
+      server.set_seeds(changed->plain_list("seeds"));
+  };
+  const auto hangup = loop.on_signal(SIGHUP, reload);
+  const auto watch = loop.every(settings_watch_period, reload);
   loop.run();
   return server.failed() ? 1 : 0;
 }
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -34,6 +34,8 @@
   auto start() -> std::optional<bool>;
   /// Drains and stops the loop; a second call ends open requests at once.
   auto shut_down() -> void;
+  /// Answers with all counters and histograms of this VM.
+  auto show_metrics(const exchange_ptr& call) -> void;
   auto request_plan() const -> const chart& { return chart_; }
   /// Requests open on another front of this VM, which shutdown waits for.
   auto set_other_requests(sigc::slot<std::size_t()> count) -> void {
@@ -81,7 +83,6 @@
   auto find_service(const std::string& name, bool model) const
       -> std::shared_ptr<const service>;
   auto begin(const exchange_ptr& call, request_parameters parameters) -> void;
-  auto show_metrics(const exchange_ptr& call) -> void;
 
   auto apply_config() -> void;
   auto apply_endpoints(const std::vector<wire::endpoint_record>& records,
--- a/src/entryd.cpp
+++ b/src/entryd.cpp
@@ -29,6 +29,8 @@
      "second sends for each hundred requests of a service"},
     {"retry-slack", "50", number_in{0, 1000000},
      "second sends beyond that, over all VMs"},
+    {"metrics-listen", "", optional_address{},
+     "address that serves /metrics, beside the one of --listen"},
     {"charts", "charts", nonempty_text{}, "folder with the state charts"},
     {"policy", "predicted",
      one_of{{"predicted", "least-outstanding", "round-robin"}},
@@ -129,7 +131,14 @@
     server.set_other_requests([&front] { return front->open_requests(); });
     server.ending.connect([&front] { front->end_open_requests(); });
   }
-  if ((front && !front->start()) || !server.start()) {
+  const auto metrics_address =
+      parse_socket_address(given.text("metrics-listen"));
+  http_server metrics_server(
+      loop, http_limits{},
+      [&server](const exchange_ptr& call) { server.show_metrics(call); });
+  const auto listening =
+      !metrics_address || metrics_server.listen(*metrics_address);
+  if (!listening || (front && !front->start()) || !server.start()) {
     log_failure("start.failed", last_error());
     return 1;
   }
@@ -140,15 +149,14 @@
   };
   const auto terminate = loop.on_signal(SIGTERM, shut_down);
   const auto interrupt = loop.on_signal(SIGINT, shut_down);
-  const auto reload = loop.on_signal(SIGHUP, [&] {
-    auto again = parse_settings("pollenloft-entryd [settings]", known_settings,
-                                argc, argv);
-    const auto* changed = std::get_if<settings>(&again);
-    log_event(log_level::info, "settings.reloaded",
-              {{"sound", changed != nullptr}});
-    if (changed != nullptr)
+  settings_reloader settings_now("pollenloft-entryd [settings]", known_settings,
+                                 argc, argv);
+  const auto reload = [&] {
+    if (const auto changed = settings_now.changed())
       server.control().set_seeds(control_replicas(*changed));
-  });
+  };
+  const auto hangup = loop.on_signal(SIGHUP, reload);
+  const auto watch = loop.every(settings_watch_period, reload);
   loop.run();
   return 0;
 }
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -201,4 +201,24 @@
   return result;
 }
 
+settings_reloader::settings_reloader(std::string usage,
+                                     std::vector<setting> known, int argc,
+                                     char** argv)
+    : usage_(std::move(usage)),
+      known_(std::move(known)),
+      argc_(argc),
+      argv_(argv),
+      last_(parse_settings(usage_, known_, argc_, argv_)) {}
+
+auto settings_reloader::changed() -> std::optional<settings> {
+  auto again = parse_settings(usage_, known_, argc_, argv_);
+  const auto* read = std::get_if<settings>(&again);
+  if (read == nullptr)
+    return fail("settings.reload", usage_, "the new settings have faults");
+  const auto* last = std::get_if<settings>(&last_);
+  if (last != nullptr && *last == *read) return std::nullopt;
+  last_ = again;
+  return *read;
+}
+
 }  // namespace pollenloft
--- a/test/settings_test.cpp
+++ b/test/settings_test.cpp
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(file_goes_before_the_fallback_and_behind_the_flag);
   CPPUNIT_TEST(empty_values_are_allowed_where_the_domain_says_so);
   CPPUNIT_TEST(lists_of_addresses_are_read);
+  CPPUNIT_TEST(changed_file_is_noticed);
   CPPUNIT_TEST(unknown_names_and_missing_files_are_faults);
   CPPUNIT_TEST_SUITE_END();
 
@@ -75,6 +76,22 @@
     CPPUNIT_ASSERT_EQUAL(2, std::get<int>(parse({"--seeds", "10.0.0.1"})));
   }
 
+  auto changed_file_is_noticed() -> void {
+    const settings_file file("name = first\n");
+    std::vector<std::string> words{"program", "--settings", file.path()};
+    std::vector<char*> argv;
+    for (auto& word : words)
+      argv.push_back(word.data());
+    settings_reloader now("program", known, 3, argv.data());
+    CPPUNIT_ASSERT(!now.changed());
+    std::ofstream(file.path()) << "name = second\n";
+    const auto changed = now.changed();
+    CPPUNIT_ASSERT(changed && changed->text("name") == "second");
+    CPPUNIT_ASSERT(!now.changed());
+    std::ofstream(file.path()) << "name =\n";  // not allowed
+    CPPUNIT_ASSERT(!now.changed());
+  }
+
   auto unknown_names_and_missing_files_are_faults() -> void {
     const settings_file file("colour = red\n");
     CPPUNIT_ASSERT_EQUAL(2, std::get<int>(parse({"--settings", file.path()})));
