--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -100,7 +100,7 @@
         no_lease_wait_(given.text("switch-off") == "lease-wait"),
         replica_(make_options(given), disk_.take_found(),
                  boottime_clock::now()),
-        placer_(loop_, client_, directory_, given.millis("report-period-ms")) {
+        placer_(client_, directory_, given.millis("report-period-ms")) {
     if (!given.text("platform-listen").empty())
       gateway_ = std::make_unique<control_gateway>(
           loop_, *this, given.address("platform-listen"),
--- a/src/layer_placer.cpp
+++ b/src/layer_placer.cpp
@@ -245,9 +245,10 @@
       state.cache_total > 0 ? state.cache_used / state.cache_total : 0;
   const auto steps = static_cast<std::int32_t>(share * percent / fill_step);
   // Small differences are noise of the measurement.
-  const auto halves = std::lround(2 * state.slowdown);
-  const auto slowdown =
-      static_cast<std::int32_t>(std::max(2L, halves) * percent / 2);
+  constexpr double steps_of_slowdown = 2;  // to each whole time
+  const auto rounded = std::round(steps_of_slowdown * state.slowdown);
+  const auto slowdown = static_cast<std::int32_t>(
+      std::max(1.0, rounded / steps_of_slowdown) * percent);
   if (directory_.set_load(id, steps * fill_step, slowdown)) changed.emit(id);
 }
 
--- a/src/layer_placer.hpp
+++ b/src/layer_placer.hpp
@@ -14,10 +14,9 @@
 
 class layer_placer {
  public:
-  layer_placer(event_loop& loop, http_client& client,
-               endpoint_directory& directory, duration report_period)
-      : loop_(loop),
-        client_(client),
+  layer_placer(http_client& client, endpoint_directory& directory,
+               duration report_period)
+      : client_(client),
         directory_(directory),
         report_period_(report_period),
         started_(boottime_clock::now()) {}
@@ -66,7 +65,6 @@
   auto to_placed(const wire::endpoint_record& record,
                  const engine_profile& engine) const -> placed_runner;
 
-  event_loop& loop_;
   http_client& client_;
   endpoint_directory& directory_;
   duration report_period_;
