Repair at once while runners are replaced one after the other

Ruled out: a lost leader, stale keys, late orders. Only the first plan waits now. layer_placer_test fails on the code before (scratch copy) and passes now.

--- a/src/layer_placer.cpp
+++ b/src/layer_placer.cpp
@@ -91,12 +91,13 @@
   auto& since = first_seen_[service.name];
   if (known > count) since = now;
   count = known;
-  if (placed.empty() || now - since < settle_time) return;
+  if (placed.empty()) return;
   const auto knows_all = now - started_ > reports_to_know_all * report_period_;
   const auto empty =
       std::all_of(placed.begin(), placed.end(),
                   [](const auto& runner) { return runner.held.empty(); });
-  if (!empty && !knows_all) return;
+  // Only the first plan waits for runners that are about to appear.
+  if (empty ? now - since < settle_time : !knows_all) return;
   const auto plan = empty ? plan_first(*service.engine, placed, {})
                           : plan_repair(*service.engine, placed, {});
   for (const auto& [id, span] : plan)
--- /dev/null
+++ b/test/layer_placer_test.cpp
@@ -0,0 +1,183 @@
+#include "layer_placer.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "property.hpp"
+
+namespace pollenloft::test {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr auto report_period = milliseconds(20);
+
+/// A runner that takes each order at once.
+class fake_runner {
+ public:
+  fake_runner(event_loop& loop, const std::string& host)
+      : address_{host, 18090},
+        server_(loop, http_limits{},
+                [this](const exchange_ptr& call) { serve(call); }) {
+    CPPUNIT_ASSERT(server_.listen(address_));
+  }
+
+  auto record(const std::string& id) const -> wire::endpoint_record {
+    wire::endpoint_record made;
+    made.id = id;
+    made.incarnation = "1";
+    made.address = address_.text();
+    made.kind = "k";
+    made.zone = "z";
+    made.pipeline = "llm";
+    made.slots = 8;
+    return made;
+  }
+
+  layer_span held;
+  std::int64_t sequence = 0;
+  std::int64_t fenced_below = 0;
+  std::vector<json> orders;
+  std::vector<std::string> stalled_at;
+  bool mute = false;
+
+ private:
+  auto serve(const exchange_ptr& call) -> void {
+    if (mute) return kept_.push_back(call);
+    if (call->request().path == "/report") {
+      json body{{"Busy", false},
+                {"Seq", sequence},
+                {"Layers", {{"From", held.from}, {"To", held.to}}},
+                {"Stalled", json::array()}};
+      for (const auto& address : stalled_at)
+        body["Stalled"].push_back({{"Id", "r"}, {"Address", address}});
+      return call->reply(200, {}, body.dump());
+    }
+    const auto order = json::parse(call->request().body);
+    orders.push_back(order);
+    if (order["FenceToken"] < fenced_below) return call->reply(412, {}, "");
+    if (order["Expect"] != sequence) return call->reply(409, {}, "");
+    held = {order["From"], order["To"]};
+    ++sequence;
+    call->reply(202, {}, "");
+  }
+
+  socket_address address_;
+  http_server server_;
+  std::vector<exchange_ptr> kept_;
+};
+
+auto config() -> ingress_config {
+  engine_profile engine;
+  engine.layers = 4;
+  engine.layer_mb = 100;
+  engine.cache_bytes = 4000;
+  engine.accelerators = {{"k", {1200, 1, 1}}};
+  ingress_config made;
+  made.services["llm"] = {"llm", engine};
+  return made;
+}
+
+}  // namespace
+
+class layer_placer_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(layer_placer_test);
+  CPPUNIT_TEST(first_placement_covers_the_model);
+  CPPUNIT_TEST(repair_does_not_wait_for_new_runners);
+  CPPUNIT_TEST(silent_neighbour_is_lost_once_work_stands_still);
+  CPPUNIT_TEST(fenced_leader_stops_ordering);
+  CPPUNIT_TEST_SUITE_END();
+
+  event_loop loop_;
+  std::unique_ptr<http_client> client_;
+  endpoint_directory directory_;
+  std::unique_ptr<layer_placer> placer_;
+  std::map<std::string, std::unique_ptr<fake_runner>> runners_;
+  int added_ = 0;
+
+ public:
+  auto setUp() -> void override {
+    client_ = std::make_unique<http_client>(loop_);
+    placer_ =
+        std::make_unique<layer_placer>(*client_, directory_, report_period);
+    placer_->start_term(3);
+  }
+  auto tearDown() -> void override {
+    runners_.clear();
+    placer_.reset();
+  }
+
+  auto add(layer_span held = {}) -> fake_runner& {
+    const auto id = "r" + std::to_string(++added_);
+    auto made = std::make_unique<fake_runner>(
+        loop_, "127.0.10." + std::to_string(added_));
+    made->held = held;
+    directory_.merge({made->record(id)});
+    return *(runners_[id] = std::move(made));
+  }
+
+  auto work(milliseconds time, const std::function<void()>& each = {}) -> void {
+    const auto plan = config();
+    const auto ticker = loop_.every(milliseconds(20), [&] {
+      if (each) each();
+      placer_->tick(plan, boottime_clock::now());
+    });
+    const auto end = loop_.after(time, [this] { loop_.stop(); });
+    loop_.run();
+  }
+
+  auto covered() const -> bool {
+    for (std::int32_t layer = 0; layer < 4; ++layer)
+      if (std::none_of(runners_.begin(), runners_.end(), [&](const auto& item) {
+            return !item.second->mute && item.second->held.covers(layer);
+          }))
+        return false;
+    return true;
+  }
+
+  auto first_placement_covers_the_model() -> void {
+    add();
+    add();
+    work(milliseconds(2500));
+    CPPUNIT_ASSERT(covered());
+    for (const auto& [id, runner] : runners_)
+      for (const auto& order : runner->orders)
+        CPPUNIT_ASSERT_EQUAL(3, order["FenceToken"].get<int>());
+  }
+
+  /// While runners are replaced one after the other a new one appears each
+  /// moment; what is missing has to be loaded all the same.
+  auto repair_does_not_wait_for_new_runners() -> void {
+    add({0, 2});
+    add({2, 4});
+    work(milliseconds(700));
+    directory_.end("r2");
+    runners_.erase("r2");
+    int ticks = 0;
+    work(milliseconds(1200), [&] {
+      if (++ticks % 10 == 0 && added_ < 6) add();
+    });
+    CPPUNIT_ASSERT(covered());
+  }
+
+  auto silent_neighbour_is_lost_once_work_stands_still() -> void {
+    auto& head = add({0, 2});
+    auto& neighbour = add({2, 4});
+    work(milliseconds(700));
+    CPPUNIT_ASSERT_EQUAL(4, directory_.records().at("r2").last_layer);
+    neighbour.mute = true;
+    head.stalled_at = {directory_.records().at("r2").address};
+    work(milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(0, directory_.records().at("r2").last_layer);
+  }
+
+  auto fenced_leader_stops_ordering() -> void {
+    auto& runner = add();
+    runner.fenced_below = 4;
+    work(milliseconds(3500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, runner.orders.size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(layer_placer_test);
+
+}  // namespace pollenloft::test
