Let a new leader read all runners' states before it repairs

Cause: with the wait for new runners gone a new leader took runners it had not read yet for missing.

--- a/src/layer_placer.cpp
+++ b/src/layer_placer.cpp
@@ -79,12 +79,15 @@
     -> void {
   std::vector<placed_runner> placed;
   std::size_t known = 0;
+  std::size_t unread = 0;
   for (const auto& [id, record] : directory_.records()) {
     if (record.pipeline != service.name || record.kind.empty()) continue;
     if (record.state != static_cast<std::int8_t>(endpoint_state::up)) continue;
     if (record.displaced) continue;
     ++known;
     look_at(record, now);
+    const auto& book = runners_.at(id);
+    if (!book.state && !book.lost) ++unread;
     if (usable(record)) placed.push_back(to_placed(record, *service.engine));
   }
   auto& count = seen_count_[service.name];
@@ -96,8 +99,9 @@
   const auto empty =
       std::all_of(placed.begin(), placed.end(),
                   [](const auto& runner) { return runner.held.empty(); });
-  // Only the first plan waits for runners that are about to appear.
-  if (empty ? now - since < settle_time : !knows_all) return;
+  // Only the first plan waits for runners that are about to appear; a repair
+  // waits for the states of those that are known, which a new leader lacks.
+  if (empty ? now - since < settle_time : !knows_all || unread > 0) return;
   const auto plan = empty ? plan_first(*service.engine, placed, {})
                           : plan_repair(*service.engine, placed, {});
   for (const auto& [id, span] : plan)
--- a/test/layer_placer_test.cpp
+++ b/test/layer_placer_test.cpp
@@ -83,6 +83,7 @@
   CPPUNIT_TEST_SUITE(layer_placer_test);
   CPPUNIT_TEST(first_placement_covers_the_model);
   CPPUNIT_TEST(repair_does_not_wait_for_new_runners);
+  CPPUNIT_TEST(new_leader_reads_all_states_before_a_repair);
   CPPUNIT_TEST(silent_neighbour_is_lost_once_work_stands_still);
   CPPUNIT_TEST(fenced_leader_stops_ordering);
   CPPUNIT_TEST_SUITE_END();
@@ -159,6 +160,17 @@
     CPPUNIT_ASSERT(covered());
   }
 
+  /// What it has not read yet is not missing.
+  auto new_leader_reads_all_states_before_a_repair() -> void {
+    auto& slow = add({2, 4});
+    auto& other = add({0, 2});
+    work(milliseconds(700));
+    slow.mute = true;  // its state comes late
+    placer_->start_term(4);
+    work(milliseconds(300));
+    CPPUNIT_ASSERT(other.orders.empty());
+  }
+
   auto silent_neighbour_is_lost_once_work_stands_still() -> void {
     auto& head = add({0, 2});
     auto& neighbour = add({2, 4});
