Send a refused resumption again

It uses budget and no attempt now. front_request_test, refused_resumption_is_sent_again, fails on the code before.

--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -39,6 +39,7 @@
     : host_(host),
       call_(std::move(call)),
       given_(std::move(given)),
+      budget_(budget),
       life_(plan,
             request_facts{false, given_.route->may_repeat(),
                           given_.route->attempts},
@@ -280,6 +281,10 @@
              {"status", answer_.status}});
   free_places(full ? dispatch_result::refused : dispatch_result::down,
               at_fault);
+  // A stream that is to go on elsewhere is cut if it may not be sent again, so
+  // a refusal that ran nothing uses up budget but no attempt.
+  const auto resuming = !life_.untouched();
+  if (resuming && budget_.spend()) return step(request_event::busy);
   step(request_event::not_run);
 }
 
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -120,6 +120,7 @@
   front_host& host_;
   exchange_ptr call_;
   front_parameters given_;
+  retry_budget& budget_;
   request_lifecycle life_;
   chain stages_;
   conversation_ptr conversation_;
--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -61,9 +61,12 @@
       router_(options_.routing, options_.seed),
       random_(options_.seed) {
   control_.document_changed.connect([this] { apply_document(); });
-  control_.endpoints_changed.connect([this](const auto& records, bool whole) {
-    apply_endpoints(records, whole);
-  });
+  // Even a whole directory only adds: a new leader may not have heard of all
+  // endpoints yet, and what it does not name stays until it ends or fails.
+  control_.endpoints_changed.connect(
+      [this](const auto& records, bool /*whole*/) {
+        apply_endpoints(records);
+      });
 }
 
 auto front_server::start() -> std::optional<bool> {
@@ -172,10 +175,7 @@
 }
 
 auto front_server::apply_endpoints(
-    const std::vector<wire::endpoint_record>& records, bool whole) -> void {
-  // A new leader may not have heard of all endpoints yet: what it does not
-  // name stays until it ends or fails.
-  (void)whole;
+    const std::vector<wire::endpoint_record>& records) -> void {
   std::vector<std::string> lost;
   for (const auto& record : records) {
     apply_record(record);
--- a/src/front_server.hpp
+++ b/src/front_server.hpp
@@ -60,8 +60,8 @@
   /// The request may still run under the newest document known here.
   auto still_allowed(const front_request& request) const -> bool;
   auto apply_document() -> void;
-  auto apply_endpoints(const std::vector<wire::endpoint_record>& records,
-                       bool whole) -> void;
+  auto apply_endpoints(const std::vector<wire::endpoint_record>& records)
+      -> void;
   auto apply_record(const wire::endpoint_record& record) -> void;
   auto leave_endpoint(const std::string& id) -> void;
   auto queue_of(const std::string& service) -> fair_queue&;
--- a/test/front_request_test.cpp
+++ b/test/front_request_test.cpp
@@ -64,6 +64,7 @@
   CPPUNIT_TEST(answer_to_another_request_is_not_passed_on);
   CPPUNIT_TEST(truncated_answer_is_no_success);
   CPPUNIT_TEST(stream_resumes_after_the_last_whole_event);
+  CPPUNIT_TEST(refused_resumption_is_sent_again);
   CPPUNIT_TEST(stream_that_may_not_resume_is_cut);
   CPPUNIT_TEST(missing_event_is_never_skipped);
   CPPUNIT_TEST(time_limit_ends_a_request_at_once);
@@ -287,6 +288,28 @@
     CPPUNIT_ASSERT(arrived_[1].headers.find("Last-Event-Id") == "2");
   }
 
+  /// Found by a hunt: a stream whose second runner refused it was cut.
+  auto refused_resumption_is_sent_again() -> void {
+    make_stream(true);
+    add_endpoint("e2", endpoint_address);
+    add_endpoint("e3", endpoint_address);
+    serve_ = [this](const exchange_ptr& call, std::size_t n) {
+      if (n == 2) {
+        auto refusal = sealed();
+        refusal.add("Not-Executed", "1");
+        return call->reply(503, refusal, "full");
+      }
+      call->start(200, sealed());
+      call->chunk(event(static_cast<int>(n == 1 ? 1 : 2)));
+      if (n == 1) return abort_soon(call);
+      call->end();
+    };
+    CPPUNIT_ASSERT_EQUAL(200, ask());
+    CPPUNIT_ASSERT(whole());
+    CPPUNIT_ASSERT_EQUAL(event(1) + event(2), body_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, arrived_.size());
+  }
+
   auto stream_that_may_not_resume_is_cut() -> void {
     make_stream(false);
     serve_ = [this](const exchange_ptr& call, auto) {
