Leave streams alone on a runner that only gives up layers

Cause: entry VMs took a record whose layers had become empty for a lost runner and cancelled every stream on it. The leader's note of a runner that is to hold other layers also empties the span, though such a runner finishes what passes through the layers it gives up.

Change: a record says `unreachable` when the leader finds a runner dead; layers stay as they are. Work is lost with an unreachable or newly started runner alone. The leader also keeps its own notes when another control VM passes on a report with older ones.

--- a/include/pollenloft/control.hpp
+++ b/include/pollenloft/control.hpp
@@ -167,6 +167,11 @@
 /// States of an endpoint in `wire::endpoint_record::state`.
 enum class endpoint_state : std::int8_t { up, leaving, gone };
 
+/// Whether an endpoint's change means that work sent to it before is lost. A
+/// runner that gives up layers finishes what passes through them, so it is not.
+auto loses_work(const wire::endpoint_record& before,
+                const wire::endpoint_record& after) -> bool;
+
 /// Which endpoints there are: soft state of the leader, rebuilt from the
 /// reports of the VMs that receive the heartbeats.
 class endpoint_directory {
@@ -185,6 +190,8 @@
   /// if that was known.
   auto set_load(const std::string& id, std::int32_t fill, std::int32_t slowdown)
       -> bool;
+  /// Notes whether the leader finds a runner dead; false if known.
+  auto set_unreachable(const std::string& id, bool unreachable) -> bool;
   /// Notes whether reports of an endpoint are overdue; false if known.
   auto set_silent(const std::string& id, bool silent) -> bool;
   /// Notes that another endpoint reports from the same address, until this one
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -396,6 +396,12 @@
   by_sequence_[sequence_] = record.id;
 }
 
+auto loses_work(const wire::endpoint_record& before,
+                const wire::endpoint_record& after) -> bool {
+  return before.incarnation != after.incarnation ||
+         (after.unreachable && !before.unreachable);
+}
+
 auto endpoint_directory::merge(
     const std::vector<wire::endpoint_record>& records) -> void {
   for (const auto& report : records) {
@@ -491,6 +497,16 @@
   return true;
 }
 
+auto endpoint_directory::set_unreachable(const std::string& id,
+                                         bool unreachable) -> bool {
+  const auto found = records_.find(id);
+  if (found == records_.end() || found->second.unreachable == unreachable)
+    return false;
+  found->second.unreachable = unreachable;
+  touch(found->second);
+  return true;
+}
+
 auto endpoint_directory::set_silent(const std::string& id, bool silent)
     -> bool {
   const auto found = records_.find(id);
--- a/src/control_gateway.cpp
+++ b/src/control_gateway.cpp
@@ -172,6 +172,7 @@
   record.slowdown = known->second.slowdown;
   record.first_layer = known->second.first_layer;
   record.last_layer = known->second.last_layer;
+  record.unreachable = known->second.unreachable;
 }
 
 auto control_gateway::take_report(const exchange_ptr& call,
@@ -216,7 +217,8 @@
 auto control_gateway::take_share(const wire::directory_share& news) -> void {
   const auto now = boottime_clock::now();
   auto changed = false;
-  for (const auto& record : news.records) {
+  for (auto record : news.records) {
+    if (host_.in_charge()) keep_leaders_notes(record);
     changed = merge(record) || changed;
     heard_.emplace(record.id, now);
   }
--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -29,14 +29,6 @@
   return std::string_view(target).substr(0, target.find('?'));
 }
 
-/// A runner that held layers and is in service has none any more: it is down.
-auto lost_layers(const wire::endpoint_record& before,
-                 const wire::endpoint_record& after) -> bool {
-  const auto up = static_cast<std::int8_t>(endpoint_state::up);
-  return after.state == up && before.last_layer > before.first_layer &&
-         after.last_layer <= after.first_layer;
-}
-
 auto wait_limit(const ingress_route& route) -> duration {
   const auto share =
       std::chrono::duration_cast<duration>(wait_share * route.objective);
@@ -180,7 +172,7 @@
   for (const auto& record : records) {
     apply_record(record);
     const auto known = directory_.find(record.id);
-    if (known != directory_.end() && lost_layers(known->second, record))
+    if (known != directory_.end() && loses_work(known->second, record))
       lost.push_back(record.id);
     if (record.state == static_cast<std::int8_t>(endpoint_state::gone))
       directory_.erase(record.id);
@@ -208,7 +200,7 @@
     return router_.remove(record.id);
   const auto& services = table_->config().services;
   const auto service = services.find(record.pipeline);
-  if (service == services.end() || record.displaced)
+  if (service == services.end() || record.displaced || record.unreachable)
     return router_.remove(record.id);
   if (service->second.engine) {
     const auto& engine = *service->second.engine;
--- a/src/layer_placer.cpp
+++ b/src/layer_placer.cpp
@@ -188,6 +188,8 @@
   if (!state) return note_miss(id, result);
   if (book.lost)
     log_event(log_level::info, "runner.reachable", {{"endpoint", id}});
+  // An earlier leader may have found it dead, too.
+  if (directory_.set_unreachable(id, false)) changed.emit(id);
   book.lost = false;
   book.misses = 0;
   book.state = state;
@@ -240,7 +242,7 @@
        {"accused", now - book.accused < accusation_life},
        {"asked_ms_ago",
         std::chrono::duration_cast<milliseconds>(now - book.asked).count()}});
-  if (directory_.set_layers(id, 0, 0)) changed.emit(id);
+  if (directory_.set_unreachable(id, true)) changed.emit(id);
 }
 
 auto layer_placer::note_load(const std::string& id,
--- a/src/operator_views.cpp
+++ b/src/operator_views.cpp
@@ -40,6 +40,7 @@
          {"address", record.address},
          {"layers", {record.first_layer, record.last_layer}},
          {"owner", record.owner},
+         {"unreachable", record.unreachable},
          {"state", states.at(static_cast<std::size_t>(record.state))}});
   return rows;
 }
--- a/test/control_test.cpp
+++ b/test/control_test.cpp
@@ -108,6 +108,7 @@
   CPPUNIT_TEST(new_leader_waits_out_unknown_leases);
   CPPUNIT_TEST(expired_lease_holds_up_nothing);
   CPPUNIT_TEST(directory_keeps_the_newer_incarnation);
+  CPPUNIT_TEST(work_is_lost_with_the_endpoint_alone);
   CPPUNIT_TEST(leaving_endpoint_stays_leaving);
   CPPUNIT_TEST(orphans_are_dropped_unless_reported_again);
   CPPUNIT_TEST(fuzz_versions);
@@ -334,6 +335,22 @@
     CPPUNIT_ASSERT(directory.changes_after(directory.sequence()).empty());
   }
 
+  /// Found by a hunt: streams on a runner that was to hold other layers were
+  /// cut off, though runners finish what passes through layers they give up.
+  auto work_is_lost_with_the_endpoint_alone() -> void {
+    const auto before = endpoint("r", "1", endpoint_state::up, "vm");
+    auto after = before;
+    after.first_layer = after.last_layer = 58;
+    CPPUNIT_ASSERT(!loses_work(before, after));
+    after.state = static_cast<std::int8_t>(endpoint_state::leaving);
+    CPPUNIT_ASSERT(!loses_work(before, after));
+    after.unreachable = true;
+    CPPUNIT_ASSERT(loses_work(before, after));
+    CPPUNIT_ASSERT(!loses_work(after, after));
+    CPPUNIT_ASSERT(
+        loses_work(before, endpoint("r", "2", endpoint_state::up, "vm")));
+  }
+
   auto leaving_endpoint_stays_leaving() -> void {
     endpoint_directory directory;
     directory.merge({endpoint("r", "1", endpoint_state::leaving, "vm")});
