Let streams under way wait for the retry budget

Change: such a stream waits for the budget, which other requests earn; its caller or the deadline ends it otherwise. Requests that nobody reads yet still end at once.

Test: front_request_test stream_waits_for_the_retry_budget, failing before.

--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -22,6 +22,8 @@
 /// noticed and until new stages have read the tokens comes off that.
 constexpr auto mend_patience = milliseconds(900);
 constexpr auto mend_pause = milliseconds(100);
+/// Other requests earn retries many times a second on a VM in use.
+constexpr auto budget_pause = milliseconds(50);
 constexpr double bytes_per_mb = 1e6;
 constexpr std::int32_t most_urgency = 9;
 /// Refusals for want of room come at once.
@@ -281,11 +283,30 @@
              {"status", answer_.status}});
   free_places(full ? dispatch_result::refused : dispatch_result::down,
               at_fault);
+  go_on(request_event::not_run);
+}
+
+/// A stream under way that finds the retry budget used up waits for it: its
+/// caller leaves when the pause gets too long, and would lose it at once if
+/// the stream were cut here.
+auto front_request::go_on(request_event event) -> void {
+  if (call_->started() && !budget_.available()) {
+    log_event(log_level::debug, "retry.waits",
+              {{"id", given_.headers.request_id},
+               {"attempt", life_.attempt()},
+               {"events", events_}});
+    budget_wait_ = host_.loop().after(
+        budget_pause, [self = weak_from_this(), event] {
+          if (auto held = self.lock()) held->go_on(event);
+        });
+    return;
+  }
   // A stream that is to go on elsewhere is cut if it may not be sent again, so
   // a refusal that ran nothing uses up budget but no attempt.
-  const auto resuming = !life_.untouched();
+  const auto resuming =
+      event == request_event::not_run && !life_.untouched();
   if (resuming && budget_.spend()) return step(request_event::busy);
-  step(request_event::not_run);
+  step(event);
 }
 
 /// The connection was never made: this uses up no attempt.
@@ -314,7 +335,7 @@
   // Any stage of a chain may be at fault; the head only passes it on.
   if (stages_.size() == 1) avoid_.insert(endpoint);
   free_places(dispatch_result::failed, endpoint);
-  step(request_event::broken);
+  go_on(request_event::broken);
 }
 
 auto front_request::free_places(dispatch_result result,
@@ -479,6 +500,7 @@
   log_end(outcome_name(result), status);
   deadline_ = timer();
   stall_ = timer();
+  budget_wait_ = timer();
   host_.request_ended(shared_from_this());
 }
 
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -102,6 +102,9 @@
   auto take_refusal() -> void;
   auto take_unsent(const error& cause) -> void;
   auto attempt_failed(const error& cause) -> void;
+  /// Takes the next step after an attempt that failed or was refused, once a
+  /// stream that its caller is reading may be resumed.
+  auto go_on(request_event event) -> void;
   auto free_places(dispatch_result result, const std::string& at_fault) -> void;
   auto endpoint_at(const std::string& address) const -> std::string;
   auto stall_patience() const -> duration;
@@ -127,6 +130,7 @@
   timer deadline_;
   timer stall_;
   timer mend_;
+  timer budget_wait_;
   std::set<std::string> avoid_;  // endpoints that failed this request
   instant dispatched_{};
   bool placed_ = false;
--- a/test/front_request_test.cpp
+++ b/test/front_request_test.cpp
@@ -65,6 +65,7 @@
   CPPUNIT_TEST(truncated_answer_is_no_success);
   CPPUNIT_TEST(stream_resumes_after_the_last_whole_event);
   CPPUNIT_TEST(refused_resumption_is_sent_again);
+  CPPUNIT_TEST(stream_waits_for_the_retry_budget);
   CPPUNIT_TEST(stream_that_may_not_resume_is_cut);
   CPPUNIT_TEST(missing_event_is_never_skipped);
   CPPUNIT_TEST(time_limit_ends_a_request_at_once);
@@ -310,6 +311,28 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, arrived_.size());
   }
 
+  /// Found by a hunt: runners that were being replaced used up the retry
+  /// budget, and streams that could not be resumed at once were cut.
+  auto stream_waits_for_the_retry_budget() -> void {
+    make_stream(true);
+    add_endpoint("e2", endpoint_address);
+    budget_ = retry_budget(0.5, 1);
+    budget_.spend();
+    serve_ = [this](const exchange_ptr& call, std::size_t n) {
+      call->start(200, sealed());
+      call->chunk(event(static_cast<int>(n)));
+      if (n == 1) return abort_soon(call);
+      call->end();
+    };
+    const auto others = loop_.every(milliseconds(100), [this] {
+      CPPUNIT_ASSERT(!result_.has_value());
+      budget_.earn();
+    });
+    CPPUNIT_ASSERT_EQUAL(200, ask());
+    CPPUNIT_ASSERT(whole());
+    CPPUNIT_ASSERT_EQUAL(event(1) + event(2), body_);
+  }
+
   auto stream_that_may_not_resume_is_cut() -> void {
     make_stream(false);
     serve_ = [this](const exchange_ptr& call, auto) {
