Log how requests on the own interface end

check graceful is red beside busy processes. The line request.ended (as on the platform's front) shows for each unserved request of a failing run (9 busy loops, 8 cores): 94 unknown and 52 not-run, all "the deadline has passed" after 9.9 s, attempts 1 with 2 to 80 tokens or still queued, all of the one large account.

--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -471,6 +471,11 @@
   step(request_event::stalled);
   stood_still_ = false;
   if (placed_) return;  // it may not run again, so this dispatch goes on
+  log_event(log_level::warning, "attempt.stalled",
+            {{"id", dispatch_id_},
+             {"attempt", life_.attempt()},
+             {"endpoint", stages.front().endpoint->id},
+             {"tokens", tokens_}});
   host_.numbers().add("pollenloft_stalls_total");
   for (const auto& stage : stages)
     avoid_.insert(stage.endpoint->id);
@@ -511,11 +516,28 @@
     reply_completed();
   else
     reply_failure(result);
+  log_end(result);
   deadline_ = timer();
   stall_ = timer();
   host_.request_ended(shared_from_this());
 }
 
+auto caller_request::log_end(outcome result) const -> void {
+  const auto usual = result == outcome::completed;
+  const auto now = boottime_clock::now();
+  log_event(usual ? log_level::debug : log_level::info, "request.ended",
+            {{"id", dispatch_id_},
+             {"account", given_.account},
+             {"service", given_.service_name},
+             {"outcome", outcome_name(result)},
+             {"state", life_.state()},
+             {"attempts", life_.attempt()},
+             {"tokens", tokens_},
+             {"took_ms", to_ms(now - given_.arrived).count()},
+             {"left_ms", to_ms(given_.deadline - now).count()},
+             {"reason", usual ? "" : reason_}});
+}
+
 auto caller_request::reply_completed() -> void {
   if (std::holds_alternative<plain_service>(given_.target->kind)) {
     auto headers = reply_headers(outcome::completed);
--- a/src/caller_request.hpp
+++ b/src/caller_request.hpp
@@ -119,6 +119,7 @@
   auto reply_headers(outcome result) const -> http_headers;
   auto stream_token(const token_event& token) -> void;
   auto end(outcome result) -> void;
+  auto log_end(outcome result) const -> void;
   auto reply_failure(outcome result) -> void;
   auto reply_completed() -> void;
 
