Know configuration and endpoints at once after all processes were killed

Streams under way are cut by the kill and their callers come back once.

Change: an entry VM holds what it reads before it knows the configuration, for 0.9 s at most, and refuses after that; waiting for a place counts from then. Control VMs keep the endpoint directory on disk, written when endpoints, states or layers change, and restore it if it is under a minute old; a saved record yields to reports, later starts and the leader's own look at the runners.

--- a/include/pollenloft/journal.hpp
+++ b/include/pollenloft/journal.hpp
@@ -3,8 +3,9 @@
 /// nothing counts before it is synced. A torn tail is cut off, damage
 /// elsewhere is refused with file and offset.
 ///
-/// Files in the folder: `state` (hard state), `snapshot`, `log`. Whole files
-/// are written aside, synced, renamed, and the folder is synced.
+/// Files in the folder: `state` (hard state), `snapshot`, `log`, and those
+/// that are kept beside. Whole files are written aside, synced, renamed, and
+/// the folder is synced.
 #ifndef POLLENLOFT_JOURNAL_HPP
 #define POLLENLOFT_JOURNAL_HPP
 
@@ -35,6 +36,12 @@
   auto store_snapshot(const log_snapshot& snapshot,
                       const std::vector<log_entry>& tail)
       -> std::optional<bool>;
+  /// Replaces a file beside the log as a whole, synced. It is no part of the
+  /// replicated state, so that an error is no reason to stop.
+  auto store_beside(const std::string& name, const std::string& bytes)
+      -> std::optional<bool>;
+  /// What `store_beside` stored last; empty text if nothing was.
+  auto load_beside(const std::string& name) const -> std::optional<std::string>;
   /// Bytes in the log file.
   auto log_bytes() const -> std::uint64_t { return log_size_; }
 
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "control_gateway.hpp"
+#include "directory_store.hpp"
 #include "layer_placer.hpp"
 #include "operator_views.hpp"
 #include "pollenloft/control.hpp"
@@ -100,6 +101,7 @@
         no_lease_wait_(given.text("switch-off") == "lease-wait"),
         replica_(make_options(given), disk_.take_found(),
                  boottime_clock::now()),
+        saved_directory_(disk_, directory_),
         placer_(client_, directory_, given.millis("report-period-ms")) {
     if (!given.text("platform-listen").empty())
       gateway_ = std::make_unique<control_gateway>(
@@ -113,6 +115,7 @@
   auto start(const socket_address& listen) -> std::optional<bool> {
     if (!server_.listen(listen)) return std::nullopt;
     if (gateway_ && !gateway_->start()) return std::nullopt;
+    if (gateway_) saved_directory_.restore(wall_clock());
     if (metrics_address_ && !metrics_server_.listen(*metrics_address_))
       return std::nullopt;
     ticker_ = loop_.every(tick_period, [this] { tick(); });
@@ -246,7 +249,10 @@
     replica_.tick(now);
     note_role(now);
     if (in_charge()) lead(now);
-    if (gateway_) gateway_->tick(now);
+    if (gateway_) {
+      gateway_->tick(now);
+      saved_directory_.tick(now, wall_clock());
+    }
     keep_membership(now);
     answer_renewals(now);
     answer_patches(now);
@@ -801,6 +807,7 @@
   replica replica_;
   control_state state_;
   endpoint_directory directory_;
+  directory_store saved_directory_;
   layer_placer placer_;
   std::unique_ptr<control_gateway> gateway_;
   instant asked_to_join_{};
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -53,6 +53,7 @@
   std::int32_t priority = 1;
   platform::caller_headers headers;
   instant arrived{};
+  instant accepted{};  ///< later than `arrived` if it was held at the start
   instant deadline{};
 };
 
--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -12,6 +12,10 @@
                                    std::chrono::seconds(60)};
 constexpr std::size_t most_requests = 4000;  // open at once
 constexpr auto refusal_pause = milliseconds(1000);
+/// After all processes were killed a leader is elected within half a second;
+/// callers give up on a request that nobody reads for a second.
+constexpr auto hold_limit = milliseconds(900);
+constexpr std::size_t most_held = 500;
 /// A request waits for a place at most this part of its objective: past it a
 /// caller that returns later is served better.
 constexpr double wait_share = 0.5;
@@ -47,7 +51,9 @@
       chart_(request_chart),
       metrics_(numbers),
       server_(loop_, front_limits,
-              [this](const exchange_ptr& call) { take(call); }),
+              [this](const exchange_ptr& call) {
+                take(call, boottime_clock::now());
+              }),
       readiness_(loop_, http_limits{},
                  [this](const exchange_ptr& call) { show_ready(call); }),
       router_(options_.routing, options_.seed),
@@ -101,9 +107,31 @@
   call->reply(status, headers, reason + "\n");
 }
 
-auto front_server::take(const exchange_ptr& call) -> void {
+/// A VM that has just started is told the configuration in a moment, and a
+/// caller that is refused in between may have no further try.
+auto front_server::hold(const exchange_ptr& call, instant arrived) -> void {
+  if (held_.size() >= most_held)
+    return refuse(call, 503, "This VM knows no configuration yet.");
+  held_.push_back({call, arrived});
+}
+
+auto front_server::take_held() -> void {
+  for (const auto& held : std::exchange(held_, {}))
+    if (held.call->open()) take(held.call, held.arrived);
+}
+
+auto front_server::refuse_held(instant now) -> void {
+  while (!held_.empty() && now - held_.front().arrived > hold_limit) {
+    const auto held = std::move(held_.front());
+    held_.pop_front();
+    if (held.call->open())
+      refuse(held.call, 503, "This VM knows no configuration yet.");
+  }
+}
+
+auto front_server::take(const exchange_ptr& call, instant arrived) -> void {
   if (refusing_) return refuse(call, 503, "This VM is shutting down.");
-  if (!table_) return refuse(call, 503, "This VM knows no configuration yet.");
+  if (!table_) return hold(call, arrived);
   const auto& request = call->request();
   front_parameters given;
   given.table = table_;
@@ -123,7 +151,8 @@
   given.service = pick_service(*given.route, random_.unit());
   const auto& service = config.services.at(given.service);
   if (service.engine) given.engine = &*service.engine;
-  given.arrived = boottime_clock::now();
+  given.arrived = arrived;
+  given.accepted = boottime_clock::now();
   const auto patience = given.headers.deadline.value_or(default_deadline);
   given.deadline = given.arrived + std::min(patience, given.route->timeout);
   begin(call, std::move(given));
@@ -164,6 +193,8 @@
   for (const auto& [id, record] : directory_)
     apply_record(record);
   schedule_pump();
+  // The endpoints come in the same message, after the document.
+  loop_.post([this] { take_held(); });
 }
 
 auto front_server::apply_endpoints(
@@ -235,7 +266,7 @@
                             1,
                             given.priority,
                             request->cost(),
-                            given.arrived + wait_limit(*given.route)};
+                            given.accepted + wait_limit(*given.route)};
   if (again) {
     queue.requeue(item);
     return schedule_pump();
@@ -321,7 +352,7 @@
   for (const auto& [id, request] : requests_) {
     const auto& given = request->parameters();
     if (request->queued() && request->untouched() &&
-        now - given.arrived > wait_limit(*given.route))
+        now - given.accepted > wait_limit(*given.route))
       overdue.push_back(request);
   }
   for (const auto& request : overdue) {
@@ -332,11 +363,13 @@
 
 auto front_server::tick() -> void {
   const auto now = boottime_clock::now();
+  refuse_held(now);
   refuse_overdue(now);
   pump();
 }
 
 auto front_server::end_open_requests() -> void {
+  refuse_held(instant::max());
   std::vector<front_request_ptr> open;
   for (const auto& [id, request] : requests_)
     open.push_back(request);
--- a/src/front_server.hpp
+++ b/src/front_server.hpp
@@ -4,6 +4,7 @@
 #ifndef POLLENLOFT_FRONT_SERVER_HPP
 #define POLLENLOFT_FRONT_SERVER_HPP
 
+#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -51,7 +52,11 @@
   auto request_ended(const front_request_ptr& request) -> void override;
 
  private:
-  auto take(const exchange_ptr& call) -> void;
+  auto take(const exchange_ptr& call, instant arrived) -> void;
+  /// Keeps a request until the configuration is known.
+  auto hold(const exchange_ptr& call, instant arrived) -> void;
+  auto take_held() -> void;
+  auto refuse_held(instant now) -> void;
   auto show_ready(const exchange_ptr& call) -> void;
   auto ready() const -> bool;
   auto refuse(const exchange_ptr& call, int status, const std::string& reason)
@@ -72,6 +77,11 @@
   auto refuse_overdue(instant now) -> void;
   auto tick() -> void;
 
+  struct held_call {
+    exchange_ptr call;
+    instant arrived;
+  };
+
   event_loop& loop_;
   front_options options_;
   http_client& client_;
@@ -87,6 +97,7 @@
   std::map<std::string, wire::endpoint_record> directory_;
   std::map<std::string, fair_queue> queues_;
   std::unordered_map<request_id, front_request_ptr> requests_;
+  std::deque<held_call> held_;  // oldest first
   request_id next_request_ = 0;
   timer ticker_;
   bool pump_posted_ = false;
--- a/src/journal.cpp
+++ b/src/journal.cpp
@@ -261,12 +261,26 @@
   if (fd < 0) return disk_error("journal.write", aside);
   const auto written = write_bytes(fd, bytes) && ::fsync(fd) == 0;
   ::close(fd);
-  if (!written) return disk_error("journal.write", aside);
+  if (!written) {
+    const auto failure = disk_error("journal.write", aside);
+    ::unlink(aside.c_str());  // on a full disk the part takes up room
+    return failure;
+  }
   if (::rename(aside.c_str(), path.c_str()) != 0 || !sync_folder(folder_))
     return disk_error("journal.rename", path);
   return true;
 }
 
+auto journal::store_beside(const std::string& name, const std::string& bytes)
+    -> std::optional<bool> {
+  return write_whole(name, frame(bytes));
+}
+
+auto journal::load_beside(const std::string& name) const
+    -> std::optional<std::string> {
+  return read_single(folder_ + "/" + name);
+}
+
 auto journal::rewrite_log(const std::vector<log_entry>& entries)
     -> std::optional<bool> {
   std::string bytes;
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -210,6 +210,8 @@
 POLLENLOFT_WIRE_MESSAGE(settle_reply)
 POLLENLOFT_WIRE_MESSAGE(blame_command)
 POLLENLOFT_WIRE_MESSAGE(directory_share)
+POLLENLOFT_WIRE_MESSAGE(endpoint_record)
 POLLENLOFT_WIRE_MESSAGE(join_request)
+POLLENLOFT_WIRE_MESSAGE(saved_directory)
 
 }  // namespace pollenloft
--- a/support/pollenloft.thrift
+++ b/support/pollenloft.thrift
@@ -115,5 +115,8 @@
   3: i32 sender, 4: i64 digest, 5: bool whole
 }
 
+// The endpoints that a control replica knew, kept on its disk.
+struct saved_directory { 1: i64 at_ms, 2: list<endpoint_record> records }
+
 // A control VM that is not a member asks to become one.
 struct join_request { 1: i32 id }
--- /dev/null
+++ b/test/directory_store_test.cpp
@@ -0,0 +1,125 @@
+#include "directory_store.hpp"
+
+#include <filesystem>
+#include <fstream>
+
+#include "property.hpp"
+
+namespace pollenloft::test {
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr milliseconds wall{1'700'000'000'000};
+
+auto runner(const std::string& id) -> wire::endpoint_record {
+  wire::endpoint_record record;
+  record.id = id;
+  record.incarnation = "1";
+  record.address = "10.0.0.1:80";
+  record.kind = "l4";
+  record.last_layer = 8;
+  record.report = 5;
+  return record;
+}
+
+}  // namespace
+
+class directory_store_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(directory_store_test);
+  CPPUNIT_TEST(endpoints_are_known_after_a_restart);
+  CPPUNIT_TEST(old_file_is_left_alone);
+  CPPUNIT_TEST(damaged_file_is_left_alone);
+  CPPUNIT_TEST(load_alone_is_not_saved);
+  CPPUNIT_TEST(restored_record_yields_to_a_later_start);
+  CPPUNIT_TEST_SUITE_END();
+
+  fs::path folder_;
+  instant now_{std::chrono::hours(1)};
+
+ public:
+  auto setUp() -> void override {
+    folder_ = fs::temp_directory_path() / "pollenloft-directory-test";
+    fs::remove_all(folder_);
+  }
+  auto tearDown() -> void override { fs::remove_all(folder_); }
+
+  auto save(const endpoint_directory& directory) -> void {
+    auto disk = journal::open(folder_);
+    auto copy = directory;
+    directory_store(*disk, copy).tick(now_, wall);
+  }
+
+  auto restored(milliseconds at = wall) -> endpoint_directory {
+    auto disk = journal::open(folder_);
+    CPPUNIT_ASSERT(disk.has_value());
+    endpoint_directory directory;
+    directory_store(*disk, directory).restore(at);
+    return directory;
+  }
+
+  auto endpoints_are_known_after_a_restart() -> void {
+    endpoint_directory directory;
+    directory.merge({runner("a"), runner("b")});
+    directory.set_layers("a", 3, 9);
+    directory.end("b");
+    save(directory);
+    const auto known = restored(wall + milliseconds(2000)).records();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, known.size());
+    CPPUNIT_ASSERT_EQUAL(3, known.at("a").first_layer);
+    CPPUNIT_ASSERT_EQUAL(static_cast<std::int8_t>(endpoint_state::gone),
+                         known.at("b").state);
+  }
+
+  auto old_file_is_left_alone() -> void {
+    endpoint_directory directory;
+    directory.merge({runner("a")});
+    save(directory);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                         restored(wall + std::chrono::hours(1)).size());
+  }
+
+  auto damaged_file_is_left_alone() -> void {
+    endpoint_directory directory;
+    directory.merge({runner("a")});
+    save(directory);
+    std::fstream file(folder_ / "endpoints",
+                      std::ios::binary | std::ios::in | std::ios::out);
+    file.seekp(30);
+    file.put('?');
+    file.close();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, restored().size());
+  }
+
+  auto load_alone_is_not_saved() -> void {
+    auto disk = journal::open(folder_);
+    endpoint_directory directory;
+    directory_store store(*disk, directory);
+    directory.merge({runner("a")});
+    store.tick(now_, wall);
+    const auto before = disk->load_beside("endpoints");
+    directory.set_load("a", 50, 100);
+    store.tick(now_ + std::chrono::seconds(5), wall);
+    CPPUNIT_ASSERT(before == disk->load_beside("endpoints"));
+    directory.set_layers("a", 0, 4);
+    store.tick(now_ + std::chrono::seconds(6), wall);
+    CPPUNIT_ASSERT(before != disk->load_beside("endpoints"));
+  }
+
+  auto restored_record_yields_to_a_later_start() -> void {
+    endpoint_directory directory;
+    directory.merge({runner("a")});
+    save(directory);
+    auto known = restored();
+    auto reborn = runner("a");
+    reborn.incarnation = "2";
+    reborn.last_layer = 0;
+    reborn.report = 1;
+    known.merge({reborn});
+    CPPUNIT_ASSERT_EQUAL(0, known.records().at("a").last_layer);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(directory_store_test);
+
+}  // namespace pollenloft::test
