Order the leader's notes of a runner apart from its reports

The runner 2d0d225f16 had been dark since 16 s and found unreachable, but the directory restored from disk did not say so: a follower that hears a runner's reports directly has a higher report number than the leader's record and left its notes (layers, load, unreachable) aside.

Ruled out: the age of the file (3.5 s); the layers it names (held since 19 s).

Change: notes carry the leader's term and a count, and merge by them whoever passes them on; a report or an earlier leader never takes them back. This replaces the two special cases in the gateway.

Test: control_test notes_and_reports_are_ordered_apart, failing before.

--- a/include/pollenloft/control.hpp
+++ b/include/pollenloft/control.hpp
@@ -183,6 +183,9 @@
   auto orphan(const std::string& vm, instant now) -> void;
   auto drop_orphans(instant now, duration grace) -> void;
   auto clear() -> void;
+  /// The notes below are now those of the leader of this term; they replace
+  /// those of earlier ones wherever the records are merged.
+  auto start_notes(std::int64_t term) -> void;
   /// Sets the layers that a runner holds; false if that was known.
   auto set_layers(const std::string& id, std::int32_t first, std::int32_t last)
       -> bool;
@@ -212,11 +215,13 @@
 
  private:
   auto touch(wire::endpoint_record& record) -> void;
+  auto note(wire::endpoint_record& record) -> void;
 
   std::map<std::string, wire::endpoint_record> records_;
   std::map<std::int64_t, std::string> by_sequence_;
   std::map<std::string, instant> orphans_;
   std::int64_t sequence_ = 0;
+  std::int64_t noted_ = 0;
 };
 
 }  // namespace pollenloft
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -402,6 +402,21 @@
          (after.unreachable && !before.unreachable);
 }
 
+namespace {
+
+/// Notes of a start are its leader's, newest first, whoever passes them on.
+auto take_notes(wire::endpoint_record& known,
+                const wire::endpoint_record& report) -> void {
+  known.first_layer = report.first_layer;
+  known.last_layer = report.last_layer;
+  known.fill = report.fill;
+  known.slowdown = report.slowdown;
+  known.unreachable = report.unreachable;
+  known.noted = report.noted;
+}
+
+}  // namespace
+
 auto endpoint_directory::merge(
     const std::vector<wire::endpoint_record>& records) -> void {
   for (const auto& report : records) {
@@ -410,6 +425,10 @@
       auto& known = found->second;
       if (report.incarnation < known.incarnation) continue;
       const auto same_start = report.incarnation == known.incarnation;
+      if (same_start && report.noted > known.noted) {
+        take_notes(known, report);
+        touch(known);
+      }
       // Within one incarnation an endpoint only moves towards gone.
       if (same_start && report.state < known.state) continue;
       // Numbered reports may arrive out of order.
@@ -422,6 +441,7 @@
       if (ended && report.owner != known.owner) continue;
       orphans_.erase(report.id);
       auto next = report;
+      if (same_start && known.noted > report.noted) take_notes(next, known);
       next.sequence = known.sequence;
       // A newer report that says the same is no change.
       known.report = std::max(known.report, report.report);
@@ -473,6 +493,16 @@
   orphans_.clear();
 }
 
+auto endpoint_directory::start_notes(std::int64_t term) -> void {
+  constexpr int count_bits = 32;
+  noted_ = term << count_bits;
+}
+
+auto endpoint_directory::note(wire::endpoint_record& record) -> void {
+  record.noted = ++noted_;
+  touch(record);
+}
+
 auto endpoint_directory::set_layers(const std::string& id, std::int32_t first,
                                     std::int32_t last) -> bool {
   const auto found = records_.find(id);
@@ -481,7 +511,7 @@
   if (record.first_layer == first && record.last_layer == last) return false;
   record.first_layer = first;
   record.last_layer = last;
-  touch(record);
+  note(record);
   return true;
 }
 
@@ -493,7 +523,7 @@
   if (record.fill == fill && record.slowdown == slowdown) return false;
   record.fill = fill;
   record.slowdown = slowdown;
-  touch(record);
+  note(record);
   return true;
 }
 
@@ -503,7 +533,7 @@
   if (found == records_.end() || found->second.unreachable == unreachable)
     return false;
   found->second.unreachable = unreachable;
-  touch(found->second);
+  note(found->second);
   return true;
 }
 
--- a/src/control_gateway.cpp
+++ b/src/control_gateway.cpp
@@ -159,22 +159,6 @@
   host_.directory_changed();
 }
 
-/// Layers and memory of a runner are the leader's to note: it asks more often
-/// than reports come, and withholds what a dead runner says it has.
-auto control_gateway::keep_leaders_notes(wire::endpoint_record& record) const
-    -> void {
-  const auto& records = host_.directory().records();
-  const auto known = records.find(record.id);
-  if (record.kind.empty() || known == records.end() ||
-      known->second.incarnation != record.incarnation)
-    return;
-  record.fill = known->second.fill;
-  record.slowdown = known->second.slowdown;
-  record.first_layer = known->second.first_layer;
-  record.last_layer = known->second.last_layer;
-  record.unreachable = known->second.unreachable;
-}
-
 auto control_gateway::take_report(const exchange_ptr& call,
                                   const std::string& id) -> void {
   auto record = platform::decode_report(id, call->request().body);
@@ -188,7 +172,6 @@
     return refuse(call, 503, "The leader is not in reach.");
   heard_[id] = boottime_clock::now();
   heard_here_.insert(id);
-  keep_leaders_notes(*record);
   if (merge(*record)) {
     log_event(log_level::info, "endpoint.changed",
               {{"endpoint", id},
@@ -217,8 +200,7 @@
 auto control_gateway::take_share(const wire::directory_share& news) -> void {
   const auto now = boottime_clock::now();
   auto changed = false;
-  for (auto record : news.records) {
-    if (host_.in_charge()) keep_leaders_notes(record);
+  for (const auto& record : news.records) {
     changed = merge(record) || changed;
     heard_.emplace(record.id, now);
   }
--- a/src/control_gateway.hpp
+++ b/src/control_gateway.hpp
@@ -67,7 +67,6 @@
   auto take_report(const exchange_ptr& call, const std::string& id) -> void;
   auto take_leave(const exchange_ptr& call, const std::string& id) -> void;
   auto point_to_leader(const exchange_ptr& call) -> void;
-  auto keep_leaders_notes(wire::endpoint_record& record) const -> void;
   auto merge(const wire::endpoint_record& record) -> bool;
   auto displace_at(const wire::endpoint_record& record) -> bool;
   auto whole_directory() -> wire::directory_share;
--- a/src/directory_store.cpp
+++ b/src/directory_store.cpp
@@ -46,7 +46,7 @@
   std::uint64_t sum = 0;
   for (const auto& [id, record] : directory_.records()) {
     auto kept = record;
-    kept.sequence = kept.report = 0;
+    kept.sequence = kept.report = kept.noted = 0;
     kept.fill = kept.slowdown = 0;
     kept.silent = false;
     sum = hash64(encode_wire(kept), sum);
--- a/support/pollenloft.thrift
+++ b/support/pollenloft.thrift
@@ -71,13 +71,15 @@
 // from the same address, `unreachable` while the leader finds the runner dead.
 // `slowdown` is how many times slower than its kind a runner is, in percent.
 // `fill` is the percentage of a runner's memory for requests that is taken.
+// Layers, load and `unreachable` are the leader's notes, ordered by `noted`,
+// its term and a count.
 struct endpoint_record {
   1: string id, 2: string incarnation, 3: string address, 4: string kind,
   5: string zone, 6: string pipeline, 7: i32 first_layer, 8: i32 last_layer,
   9: i32 slots, 10: i8 state, 11: string owner, 12: i64 sequence,
   13: bool fencing, 14: i32 token_us, 15: i64 report, 16: bool silent,
   17: i32 fill, 18: bool displaced, 19: i32 slowdown,
-  20: bool unreachable
+  20: bool unreachable, 21: i64 noted
 }
 
 // Tokens a second that an account got, and the cost it has waiting.
--- a/test/control_gateway_test.cpp
+++ b/test/control_gateway_test.cpp
@@ -90,7 +90,6 @@
   CPPUNIT_TEST(missing_reports_make_an_endpoint_silent);
   CPPUNIT_TEST(differing_directories_converge);
   CPPUNIT_TEST(layers_of_runners_are_the_leaders_to_note);
-  CPPUNIT_TEST(older_notes_of_others_do_not_replace_the_leaders);
   CPPUNIT_TEST_SUITE_END();
 
   event_loop loop_;
@@ -276,23 +275,6 @@
     CPPUNIT_ASSERT_EQUAL(4, record("a").last_layer);
     CPPUNIT_ASSERT(record("a").unreachable);
   }
-
-  /// Another control VM passes on a report with what it last heard of layers.
-  auto older_notes_of_others_do_not_replace_the_leaders() -> void {
-    auto body = json::parse(report(1));
-    body["Type"] = "l4";
-    body["Layers"] = {{"From", 0}, {"To", 8}};
-    send("PUT", "/instances/a", body.dump());
-    wire::directory_share news;
-    news.records = {record("a")};
-    news.records[0].report = 2;
-    host_->directory().set_layers("a", 0, 4);
-    gateway_->take_share(news);
-    CPPUNIT_ASSERT_EQUAL(4, record("a").last_layer);
-    host_->leads = false;
-    gateway_->take_share(news);
-    CPPUNIT_ASSERT_EQUAL(8, record("a").last_layer);
-  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(control_gateway_test);
--- a/test/control_test.cpp
+++ b/test/control_test.cpp
@@ -109,6 +109,7 @@
   CPPUNIT_TEST(expired_lease_holds_up_nothing);
   CPPUNIT_TEST(directory_keeps_the_newer_incarnation);
   CPPUNIT_TEST(work_is_lost_with_the_endpoint_alone);
+  CPPUNIT_TEST(notes_and_reports_are_ordered_apart);
   CPPUNIT_TEST(leaving_endpoint_stays_leaving);
   CPPUNIT_TEST(orphans_are_dropped_unless_reported_again);
   CPPUNIT_TEST(fuzz_versions);
@@ -351,6 +352,38 @@
         loses_work(before, endpoint("r", "2", endpoint_state::up, "vm")));
   }
 
+  /// Found on a day with a dead runner, whose reports had come to a follower:
+  /// that one's copy never learned that it was dead.
+  auto notes_and_reports_are_ordered_apart() -> void {
+    endpoint_directory leader;
+    endpoint_directory follower;
+    auto report = endpoint("r", "1", endpoint_state::up, "");
+    report.kind = "l4";
+    leader.merge({report});
+    report.report = 7;
+    follower.merge({report});
+    leader.start_notes(3);
+    leader.set_layers("r", 0, 8);
+    leader.set_unreachable("r", true);
+    const auto told = leader.changes_after(0);
+    follower.merge(told);
+    CPPUNIT_ASSERT_EQUAL(8, follower.records().at("r").last_layer);
+    CPPUNIT_ASSERT(follower.records().at("r").unreachable);
+    // Neither the next report nor an older leader takes the notes back.
+    report.report = 8;
+    follower.merge({report});
+    endpoint_directory earlier;
+    earlier.merge({report});
+    earlier.start_notes(2);
+    earlier.set_layers("r", 0, 2);
+    follower.merge(earlier.changes_after(0));
+    CPPUNIT_ASSERT_EQUAL(8, follower.records().at("r").last_layer);
+    CPPUNIT_ASSERT(follower.records().at("r").unreachable);
+    // A new start has none of them.
+    follower.merge({endpoint("r", "2", endpoint_state::up, "")});
+    CPPUNIT_ASSERT(!follower.records().at("r").unreachable);
+  }
+
   auto leaving_endpoint_stays_leaving() -> void {
     endpoint_directory directory;
     directory.merge({endpoint("r", "1", endpoint_state::leaving, "vm")});
