Count what was sent since the last report of a runner's memory

The callers came back within 0.1 s of each other, the reported fill was 0.5 s old, and every entry VM sent its part there.

Ruled out: the restored directory (the runner held what it said), places (41 of 192 taken).

Change: each endpoint has its room in tokens; a request counts its prompt and likely answer against it from when it is sent, times the number of entry VMs, with the half-life that reports of others have. What would not fit is not sent there, and the pressure of memory in the cost of a chain includes it.

Test: route_test burst_is_placed_by_memory_before_reports_come; plays that load.

--- a/include/pollenloft/route.hpp
+++ b/include/pollenloft/route.hpp
@@ -31,6 +31,7 @@
   duration layer_time{};        ///< known for its kind; 0 if it must be learned
   double fill = 0;      ///< share of its memory for requests that is taken
   double slowdown = 1;  ///< above 1 it is so many times slower than its kind
+  double room = 0;      ///< tokens of requests that fit; 0 if not known
 };
 
 /// One step of a chain: the endpoint runs layers [from, to).
@@ -91,6 +92,7 @@
   bool suspect = false;  ///< was on an endpoint that crashed
   const std::set<std::string>* avoid = nullptr;  ///< endpoint ids
   double reserve = 0;  ///< share of each endpoint's places left to others
+  double tokens = 0;   ///< prompt and likely answer
   /// Activations that a crossing between zones carries for this request.
   double crossing_mb = 0;
   bool use_ejected = false;  ///< set by the router itself
@@ -137,7 +139,9 @@
   auto replace_stage(const chain& stages, const std::string& lost,
                      const chain_request& request, instant now)
       -> std::optional<chain>;
-  auto started(const chain& stages, bool suspect) -> void;
+  /// The request of so many tokens was sent along `stages`.
+  auto started(const chain& stages, bool suspect, double tokens, instant now)
+      -> void;
   /// The dispatch has ended. `at_fault` names the endpoint that a failure or
   /// refusal came from; the others are not held to it.
   auto ended(const chain& stages, bool suspect, dispatch_result result,
--- a/src/bench.cpp
+++ b/src/bench.cpp
@@ -212,7 +212,7 @@
     wanted.layers = layers;
     const auto chosen = routes.choose(wanted, now);
     if (!chosen) return;
-    routes.started(*chosen, false);
+    routes.started(*chosen, false, 0, now);
     routes.ended(*chosen, false, dispatch_result::served, "", now);
   });
 }
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -215,7 +215,7 @@
 auto caller_request::dispatch(chain stages) -> void {
   step(request_event::slot);
   stages_ = std::move(stages);
-  host_.routes().started(stages_, suspect_);
+  host_.routes().started(stages_, suspect_, 0, boottime_clock::now());
   placed_ = true;
   plan_whole_ = false;
   attempt_first_token_ = tokens_;
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -100,6 +100,7 @@
     wanted.crossing_mb =
         cost() * given_.engine->activation_bytes / bytes_per_mb;
   }
+  wanted.tokens = tokens();
   wanted.suspect = suspect_;
   wanted.avoid = &avoid_;
   return wanted;
@@ -114,6 +115,10 @@
   return static_cast<double>(headers.prompt_tokens + output + 1);
 }
 
+auto front_request::tokens() const -> double {
+  return given_.engine == nullptr ? 0 : cost();
+}
+
 // --- dispatch ----------------------------------------------------------------
 
 auto front_request::make_call() const -> http_call {
@@ -139,7 +144,7 @@
 auto front_request::dispatch(chain stages) -> void {
   step(request_event::slot);
   stages_ = std::move(stages);
-  host_.routes().started(stages_, suspect_);
+  host_.routes().started(stages_, suspect_, tokens(), boottime_clock::now());
   placed_ = true;
   answer_ = {};
   head_ = {};
@@ -295,16 +300,15 @@
               {{"id", given_.headers.request_id},
                {"attempt", life_.attempt()},
                {"events", events_}});
-    budget_wait_ = host_.loop().after(
-        budget_pause, [self = weak_from_this(), event] {
+    budget_wait_ =
+        host_.loop().after(budget_pause, [self = weak_from_this(), event] {
           if (auto held = self.lock()) held->go_on(event);
         });
     return;
   }
   // A stream that is to go on elsewhere is cut if it may not be sent again, so
   // a refusal that ran nothing uses up budget but no attempt.
-  const auto resuming =
-      event == request_event::not_run && !life_.untouched();
+  const auto resuming = event == request_event::not_run && !life_.untouched();
   if (resuming && budget_.spend()) return step(request_event::busy);
   step(event);
 }
@@ -404,7 +408,7 @@
   host_.routes().ended(stages_, suspect_, dispatch_result::abandoned, "",
                        boottime_clock::now());
   stages_ = std::move(*mended);
-  host_.routes().started(stages_, suspect_);
+  host_.routes().started(stages_, suspect_, tokens(), boottime_clock::now());
   log_event(log_level::info, "chain.mended",
             {{"id", given_.headers.request_id},
              {"lost", lost},
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -67,6 +67,8 @@
   auto chain_wanted() const -> chain_request;
   /// Tokens, or 1 for a plain request.
   auto cost() const -> double;
+  /// Memory that it takes on each runner of its chain, 0 for a plain request.
+  auto tokens() const -> double;
   auto queued() const -> bool { return life_.state() == "queued"; }
   auto untouched() const -> bool { return life_.untouched(); }
   auto dispatch(chain stages) -> void;
--- a/src/route.cpp
+++ b/src/route.cpp
@@ -39,6 +39,8 @@
   double reported = 0;  // others' requests, when the report came
   instant reported_at{};
   duration layer_time{};  // learned; 0 falls back on the kind's
+  double new_tokens = 0;  // of own requests, not yet in `fill`
+  instant new_tokens_at{};
   int suspects = 0;
   int failures = 0;  // in a row
   int refusals = 0;  // in a row
@@ -107,6 +109,23 @@
     return entry.reported * std::exp2(-age / seconds(options.report_half_life));
   }
 
+  auto new_tokens(const endpoint_entry& entry, instant now) const -> double {
+    if (entry.new_tokens == 0) return 0;
+    const auto age = seconds(now - entry.new_tokens_at);
+    return entry.new_tokens *
+           std::exp2(-age / seconds(options.report_half_life));
+  }
+
+  /// Share of the memory for requests that is taken. Reports of it come late,
+  /// so what was sent since counts, too: the other VMs send about as much.
+  auto fill(const endpoint_entry& entry, double tokens, instant now) const
+      -> double {
+    const auto& view = *entry.view;
+    if (view.room <= 0) return view.fill;
+    const auto sent = new_tokens(entry, now) * static_cast<double>(vms);
+    return view.fill + (sent + tokens) / view.room;
+  }
+
   static auto has_place(const endpoint_entry& entry,
                         const chain_request& request) -> bool {
     const auto places = std::floor(entry.window);
@@ -120,6 +139,7 @@
     if (now < entry.ejected_until && !request.use_ejected) return false;
     if (now < entry.busy_until) return false;
     if (entry.view->fill >= options.most_fill) return false;
+    if (fill(entry, request.tokens, now) > 1) return false;
     // Suspects do not share an endpoint: a crash then tells which is at fault.
     if (request.suspect && entry.suspects > 0) return false;
     return request.avoid == nullptr ||
@@ -131,16 +151,17 @@
   }
 
   /// Memory that runs out counts more the less of it is left.
-  static auto memory_pressure(const endpoint_entry& entry) -> double {
+  auto memory_pressure(const endpoint_entry& entry, instant now) const
+      -> double {
     constexpr double least_left = 0.05;
-    return 1 / std::max(least_left, 1 - entry.view->fill);
+    return 1 / std::max(least_left, 1 - fill(entry, 0, now));
   }
 
   auto cost(const endpoint_entry& entry, std::int32_t layers, instant now) const
       -> double {
     return std::visit(overloaded{[&](const policy_predicted&) {
                                    return load(entry, now) *
-                                          memory_pressure(entry) *
+                                          memory_pressure(entry, now) *
                                           entry.view->slowdown *
                                           seconds(layer_time(entry)) * layers;
                                  },
@@ -328,7 +349,8 @@
     ++found.holders;
     if (now < entry.ejected_until)
       ++found.ejected;
-    else if (entry.view->fill >= options.most_fill)
+    else if (entry.view->fill >= options.most_fill ||
+             fill(entry, request.tokens, now) > 1)
       ++found.full;
     else if (!has_place(entry, request))
       ++found.no_place;
@@ -445,6 +467,7 @@
       auto refreshed = std::make_shared<endpoint_view>(known);
       refreshed->fill = endpoint.fill;
       refreshed->slowdown = endpoint.slowdown;
+      refreshed->room = endpoint.room;
       found->second->view = refreshed;
       return;
     }
@@ -538,12 +561,16 @@
   return mended;
 }
 
-auto router::started(const chain& stages, bool suspect) -> void {
+auto router::started(const chain& stages, bool suspect, double tokens,
+                     instant now) -> void {
   for (const auto& stage : stages) {
     const auto found = impl_->by_id.find(stage.endpoint->id);
     if (found == impl_->by_id.end()) continue;
-    found->second->outstanding += 1;
-    found->second->suspects += suspect ? 1 : 0;
+    auto& entry = *found->second;
+    entry.outstanding += 1;
+    entry.suspects += suspect ? 1 : 0;
+    entry.new_tokens = impl_->new_tokens(entry, now) + tokens;
+    entry.new_tokens_at = now;
   }
 }
 
--- a/test/front_server_test.cpp
+++ b/test/front_server_test.cpp
@@ -133,18 +133,18 @@
     made.timeout = milliseconds(3000);
     int status = 0;
     const auto sent = boottime_clock::now();
-    const auto kept = caller.send(
-        made, {[&](int code, const auto&) { status = code; },
-               {},
-               [this](const auto&, auto) { loop_.stop(); }});
+    const auto kept =
+        caller.send(made, {[&](int code, const auto&) { status = code; },
+                           {},
+                           [this](const auto&, auto) { loop_.stop(); }});
     loop_.run();
     return {status, boottime_clock::now() - sent};
   }
 
   /// Found on days on which all processes are killed at once.
   auto request_waits_for_the_configuration_after_a_start() -> void {
-    const auto election = loop_.after(milliseconds(300),
-                                      [this] { leader_->leads = true; });
+    const auto election =
+        loop_.after(milliseconds(300), [this] { leader_->leads = true; });
     const auto [status, took] = ask();
     CPPUNIT_ASSERT_EQUAL(200, status);
     CPPUNIT_ASSERT(took < milliseconds(900));
--- a/test/route_test.cpp
+++ b/test/route_test.cpp
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(slow_runner_is_left_to_its_peers);
   CPPUNIT_TEST(refusals_in_a_row_back_off);
   CPPUNIT_TEST(lost_stage_is_replaced_beside_the_others);
+  CPPUNIT_TEST(burst_is_placed_by_memory_before_reports_come);
   CPPUNIT_TEST(shortage_names_the_layer_and_the_obstacle);
   CPPUNIT_TEST(fuzz_chains);
   CPPUNIT_TEST_SUITE_END();
@@ -84,6 +85,34 @@
     return routes;
   }
 
+  /// Load: callers of all VMs come back at once after a restart, long before
+  /// the runners' reports show it; one runner has room for few of them.
+  auto burst_is_placed_by_memory_before_reports_come() -> void {
+    router routes({}, 1);
+    routes.set_vm_count(2);
+    auto squeezed = runner("a", 0, 32);
+    squeezed.slots = 64;
+    squeezed.room = 4000;
+    routes.upsert(squeezed);
+    auto other = runner("b", 0, 32);
+    other.slots = 64;
+    other.room = 100000;
+    routes.upsert(other);
+    auto request = wanted();
+    request.tokens = 900;
+    int on_squeezed = 0;
+    for (int i = 0; i < 20; ++i) {
+      const auto stages = routes.choose(request, now_);
+      CPPUNIT_ASSERT(stages.has_value());
+      on_squeezed += stages->front().endpoint->id == "a" ? 1 : 0;
+      routes.started(*stages, false, request.tokens, now_);
+    }
+    // The other VM sends as many.
+    CPPUNIT_ASSERT(on_squeezed <= 2);
+    now_ += std::chrono::seconds(5);
+    CPPUNIT_ASSERT(routes.choose(request, now_));
+  }
+
   auto shortage_names_the_layer_and_the_obstacle() -> void {
     router routes({}, 1);
     routes.upsert(runner("a", 0, 16));
@@ -106,7 +135,7 @@
     for (int i = 0; i < 3; ++i) {
       const auto stages = routes->choose(heavy(), now_);
       CPPUNIT_ASSERT(stages && stages->front().endpoint->id == "b");
-      routes->started(*stages, false);
+      routes->started(*stages, false, 0, now_);
     }
   }
 
@@ -154,7 +183,7 @@
     for (int i = 0; i < 3; ++i) {
       const auto stages = routes.choose(wanted(), now_);
       CPPUNIT_ASSERT_EQUAL(std::string("b"), stages->front().endpoint->id);
-      routes.started(*stages, false);
+      routes.started(*stages, false, 0, now_);
     }
   }
 
@@ -169,7 +198,7 @@
       const auto stages = routes.choose(wanted(), now_);
       if (!stages) continue;
       ++sent;
-      routes.started(*stages, false);
+      routes.started(*stages, false, 0, now_);
       routes.ended(*stages, false, dispatch_result::refused, "a", now_);
     }
     CPPUNIT_ASSERT(sent < 15);
@@ -226,7 +255,7 @@
     const auto first = routes.choose(wanted(), now_);
     CPPUNIT_ASSERT_EQUAL(std::string("near"), (*first)[1].endpoint->id);
     for (int i = 0; i < 3; ++i)
-      routes.started({(*first)[1]}, false);
+      routes.started({(*first)[1]}, false, 0, now_);
     const auto second = routes.choose(wanted(), now_);
     CPPUNIT_ASSERT_EQUAL(std::string("far"), (*second)[1].endpoint->id);
   }
@@ -252,7 +281,7 @@
     for (int i = 0; i < 2; ++i) {
       const auto stages = routes.choose(wanted(), now_);
       CPPUNIT_ASSERT(stages.has_value());
-      routes.started(*stages, false);
+      routes.started(*stages, false, 0, now_);
     }
     CPPUNIT_ASSERT(!routes.choose(wanted(), now_));
   }
@@ -265,7 +294,7 @@
     for (int i = 0; i < 10; ++i) {
       std::vector<chain> running;
       while (auto stages = routes.choose(wanted(), now_)) {
-        routes.started(*stages, false);
+        routes.started(*stages, false, 0, now_);
         running.push_back(*stages);
       }
       places = running.size();
@@ -282,7 +311,7 @@
     const chain stages{
         {std::make_shared<endpoint_view>(runner("a", 0, 32)), 0, 32}};
     const auto chosen = routes.choose(wanted(), now_);
-    routes.started(*chosen, false);
+    routes.started(*chosen, false, 0, now_);
     const auto id = (*chosen)[0].endpoint->id;
     routes.ended(*chosen, false, dispatch_result::down, id, now_);
     for (int i = 0; i < 10; ++i)
@@ -298,7 +327,7 @@
     for (int i = 0; i < rounds; ++i) {
       const auto stages = routes.choose(wanted(), now_);
       if (!stages) continue;
-      routes.started(*stages, false);
+      routes.started(*stages, false, 0, now_);
       routes.ended(*stages, false, dispatch_result::failed,
                    (*stages)[0].endpoint->id, now_);
     }
@@ -335,7 +364,7 @@
     int stalls = 0;
     for (int i = 0; i < 200; ++i) {
       const auto stages = *routes.choose(wanted(), now_);
-      routes.started(stages, false);
+      routes.started(stages, false, 0, now_);
       stalls += frozen(stages) ? 1 : 0;
       routes.ended(
           stages, false,
@@ -351,7 +380,7 @@
     auto suspect = wanted();
     suspect.suspect = true;
     const auto stages = routes.choose(suspect, now_);
-    routes.started(*stages, true);
+    routes.started(*stages, true, 0, now_);
     CPPUNIT_ASSERT(!routes.choose(suspect, now_));
     CPPUNIT_ASSERT(routes.choose(wanted(), now_).has_value());
   }
@@ -409,7 +438,7 @@
             RC_ASSERT(covers(*stages, 32));
             for (const auto& stage : *stages)
               RC_ASSERT(known.count(stage.endpoint->id) == 1U);
-            routes.started(*stages, false);
+            routes.started(*stages, false, 0, now);
             running.push_back(*stages);
           }
         }
