Keep a runner's places when it refuses for want of memory

Each refusal for memory cut the entry VM's window to what it had under way there, and the window grows back by one a round of answers, so that a moment without memory cost places for many seconds.

Ruled out: places of heads (no `no_place` at layer 0).

Change: where an endpoint's memory is counted, a refusal shrinks the window of the head of a chain alone; any other backs off, as before.

Test: route_test refusal_for_memory_leaves_the_places, failing before.

--- a/src/route.cpp
+++ b/src/route.cpp
@@ -406,7 +406,7 @@
   }
 
   auto settle(endpoint_entry& entry, dispatch_result result, bool at_fault,
-              instant now) -> void {
+              bool is_head, instant now) -> void {
     switch (result) {
       case dispatch_result::served:
         entry.failures = 0;
@@ -421,8 +421,10 @@
         if (!at_fault) break;
         // The endpoint is full with what it has: the window falls to that, so
         // that the VMs' windows together stay close to the endpoint's places.
-        entry.window = std::max(
-            1.0, std::min(entry.window - window_cut, entry.outstanding));
+        // Where memory is counted, places bind at the head of a chain alone.
+        if (is_head || entry.view->room <= 0)
+          entry.window = std::max(
+              1.0, std::min(entry.window - window_cut, entry.outstanding));
         entry.busy_until = now + busy_time(entry.refusals++);
         break;
       case dispatch_result::failed:
@@ -584,7 +586,8 @@
     if (now_known.incarnation != stage.endpoint->incarnation) continue;
     entry.outstanding = std::max(0.0, entry.outstanding - 1);
     entry.suspects -= suspect ? 1 : 0;
-    impl_->settle(entry, result, at_fault == stage.endpoint->id, now);
+    impl_->settle(entry, result, at_fault == stage.endpoint->id,
+                  &stage == &stages.front(), now);
   }
 }
 
--- a/test/route_test.cpp
+++ b/test/route_test.cpp
@@ -55,6 +55,7 @@
   CPPUNIT_TEST(refusals_in_a_row_back_off);
   CPPUNIT_TEST(lost_stage_is_replaced_beside_the_others);
   CPPUNIT_TEST(burst_is_placed_by_memory_before_reports_come);
+  CPPUNIT_TEST(refusal_for_memory_leaves_the_places);
   CPPUNIT_TEST(shortage_names_the_layer_and_the_obstacle);
   CPPUNIT_TEST(fuzz_chains);
   CPPUNIT_TEST_SUITE_END();
@@ -113,6 +114,29 @@
     CPPUNIT_ASSERT(routes.choose(request, now_));
   }
 
+  /// A squeezed runner refuses a few requests in a moment without memory; its
+  /// places are as many as before once the memory is free again.
+  auto refusal_for_memory_leaves_the_places() -> void {
+    router routes({}, 1);
+    routes.upsert(runner("a", 0, 16));
+    auto second = runner("b", 16, 32);
+    second.room = 10000;
+    routes.upsert(second);
+    for (int i = 0; i < 3; ++i) {
+      const auto stages = routes.choose(wanted(), now_);
+      CPPUNIT_ASSERT(stages.has_value());
+      routes.started(*stages, false, 100, now_);
+      routes.ended(*stages, false, dispatch_result::refused, "b", now_);
+      now_ += std::chrono::seconds(2);
+    }
+    for (int i = 0; i < 4; ++i) {
+      const auto stages = routes.choose(wanted(), now_);
+      CPPUNIT_ASSERT(stages.has_value());
+      routes.started(*stages, false, 100, now_);
+    }
+    CPPUNIT_ASSERT(!routes.choose(wanted(), now_));
+  }
+
   auto shortage_names_the_layer_and_the_obstacle() -> void {
     router routes({}, 1);
     routes.upsert(runner("a", 0, 16));
