Split what the layer placer logs from what it decides

sum_up, log_summary and note_progress are functions of their own; a check that the only caller makes is gone; the links' rate is set each tick, not each pump.

--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -309,7 +309,6 @@
 auto front_server::pump() -> void {
   pump_posted_ = false;
   const auto now = boottime_clock::now();
-  share_links();
   for (auto& [service, queue] : queues_)
     pump_queue(queue, now);
 }
@@ -386,6 +385,7 @@
 
 auto front_server::tick() -> void {
   const auto now = boottime_clock::now();
+  share_links();
   refuse_held(now);
   refuse_overdue(now);
   pump();
--- a/src/layer_placer.cpp
+++ b/src/layer_placer.cpp
@@ -45,8 +45,6 @@
 }
 
 auto layer_placer::usable(const wire::endpoint_record& record) const -> bool {
-  if (record.state != static_cast<std::int8_t>(endpoint_state::up))
-    return false;
   // Missing reports are no sign of a dead runner: they go to any control VM,
   // which may be cut off. The runner's own answers are.
   const auto found = runners_.find(record.id);
@@ -113,42 +111,41 @@
   log_summary(*service.engine, placed);
 }
 
-/// One line for each zone: whether it holds every layer, and the room for
-/// requests of the layer that has least.
-auto layer_placer::log_summary(const engine_profile& engine,
-                               const std::vector<placed_runner>& placed) const
-    -> void {
-  struct zone_room {
-    std::vector<double> tokens;  // of each layer
-    double fullest = 0;          // share of a runner's room that is taken
-    double most_active = 0;      // requests of one runner
-    std::string fullest_id;
-  };
-  std::map<std::string, zone_room> zones;
+auto layer_placer::sum_up(const engine_profile& engine,
+                          const std::vector<placed_runner>& placed) const
+    -> std::map<std::string, zone_summary> {
+  std::map<std::string, zone_summary> zones;
   for (const auto& runner : placed) {
     auto& zone = zones[runner.zone];
-    zone.tokens.resize(static_cast<std::size_t>(engine.layers));
+    zone.room.resize(static_cast<std::size_t>(engine.layers));
     for (auto layer = runner.held.from; layer < runner.held.to; ++layer)
-      zone.tokens[static_cast<std::size_t>(layer)] +=
+      zone.room[static_cast<std::size_t>(layer)] +=
           room_for_tokens(engine, runner.kind, runner.held.size());
     const auto& state = *runners_.at(runner.id).state;
     zone.most_active = std::max(zone.most_active, state.active);
-    const auto total = std::max(1.0, state.cache_total);
-    if (state.cache_used / total <= zone.fullest) continue;
-    zone.fullest = state.cache_used / total;
-    zone.fullest_id = runner.id;
+    const auto fill = state.cache_used / std::max(1.0, state.cache_total);
+    if (fill <= zone.fullest_share) continue;
+    zone.fullest_share = fill;
+    zone.fullest = runner.id;
   }
-  for (const auto& [name, zone] : zones) {
-    const auto least = std::min_element(zone.tokens.begin(), zone.tokens.end());
-    log_event(
-        log_level::info, "layers.summary",
-        {{"zone", name},
-         {"missing", std::count(zone.tokens.begin(), zone.tokens.end(), 0.0)},
-         {"least_room_tokens", static_cast<std::int64_t>(*least)},
-         {"at_layer", least - zone.tokens.begin()},
-         {"fullest", zone.fullest_id},
-         {"fullest_share", zone.fullest},
-         {"most_active", zone.most_active}});
+  return zones;
+}
+
+/// One line for each zone: whether it holds every layer, and the room for
+/// requests of the layer that has least.
+auto layer_placer::log_summary(const engine_profile& engine,
+                               const std::vector<placed_runner>& placed) const
+    -> void {
+  for (const auto& [name, zone] : sum_up(engine, placed)) {
+    const auto least = std::min_element(zone.room.begin(), zone.room.end());
+    log_event(log_level::info, "layers.summary",
+              {{"zone", name},
+               {"missing", std::count(zone.room.begin(), zone.room.end(), 0.0)},
+               {"least_room_tokens", static_cast<std::int64_t>(*least)},
+               {"at_layer", least - zone.room.begin()},
+               {"fullest", zone.fullest},
+               {"fullest_share", zone.fullest_share},
+               {"most_active", zone.most_active}});
   }
 }
 
@@ -196,31 +193,34 @@
   book.misses = 0;
   book.state = state;
   const layer_span held{state->first_layer, state->last_layer};
-  if (book.wanted && !book.ordering) {
-    const auto waited = boottime_clock::now() - book.ordered;
-    const auto done = held == *book.wanted && !state->busy;
-    const auto overdue = waited > order_patience;
-    if (done || overdue) {
-      log_event(done ? log_level::info : log_level::warning,
-                done ? "layers.held" : "layers.overdue",
-                {{"endpoint", id},
-                 {"from", held.from},
-                 {"to", held.to},
-                 {"wanted_from", book.wanted->from},
-                 {"wanted_to", book.wanted->to},
-                 {"busy", state->busy},
-                 {"active", state->active},
-                 {"took_ms",
-                  std::chrono::duration_cast<milliseconds>(waited).count()}});
-      book.wanted.reset();
-    }
-  }
+  if (book.wanted && !book.ordering) note_progress(id, book, held);
   for (const auto& address : state->stalled_at)
     accuse(address);
   note_layers(id, held);
   note_load(id, *state);
 }
 
+/// An order is done once its runner holds what was wanted, and no longer
+/// waited for after a while.
+auto layer_placer::note_progress(const std::string& id, runner_book& book,
+                                 layer_span held) -> void {
+  const auto waited = boottime_clock::now() - book.ordered;
+  const auto done = held == *book.wanted && !book.state->busy;
+  if (!done && waited <= order_patience) return;
+  log_event(
+      done ? log_level::info : log_level::warning,
+      done ? "layers.held" : "layers.overdue",
+      {{"endpoint", id},
+       {"from", held.from},
+       {"to", held.to},
+       {"wanted_from", book.wanted->from},
+       {"wanted_to", book.wanted->to},
+       {"busy", book.state->busy},
+       {"active", book.state->active},
+       {"took_ms", std::chrono::duration_cast<milliseconds>(waited).count()}});
+  book.wanted.reset();
+}
+
 /// Work stands still at this address: its runner is asked at once.
 auto layer_placer::accuse(const std::string& address) -> void {
   for (const auto& [id, record] : directory_.records()) {
--- a/src/layer_placer.hpp
+++ b/src/layer_placer.hpp
@@ -46,11 +46,23 @@
   };
 
   auto tick_service(const ingress_service& service, instant now) -> void;
+  /// How a zone stands, for the log.
+  struct zone_summary {
+    std::vector<double> room;  ///< tokens of requests, by layer
+    double fullest_share = 0;  ///< of a runner's room that is taken
+    std::string fullest;
+    double most_active = 0;  ///< requests of one runner
+  };
+  auto sum_up(const engine_profile& engine,
+              const std::vector<placed_runner>& placed) const
+      -> std::map<std::string, zone_summary>;
   auto log_summary(const engine_profile& engine,
                    const std::vector<placed_runner>& placed) const -> void;
   auto look_at(const wire::endpoint_record& record, instant now) -> void;
   auto take_state(const std::string& id, const call_result& result,
                   std::string_view body) -> void;
+  auto note_progress(const std::string& id, runner_book& book, layer_span held)
+      -> void;
   auto order(const wire::endpoint_record& record, layer_span span, instant now)
       -> void;
   auto take_order(const std::string& id, layer_span span,
