Try each gap of a zone, not the first alone

In the bad course the runner that leaves at 5.8 s is the largest of its zone, with layers 0-20; its neighbours took all but layer 11, which has to wait for a runner to drain. The repair stopped at that gap and loaded the layers 30-34 of another runner that was leaving no sooner: layers.summary missing=5 from 6.1 to 10.1 s.

Ruled out: the leader (elected at 2.1 s in good and bad courses alike), the frozen one before it, orders without an answer.

Change: gaps are the runs of layers that nobody holds, and each is tried.

Test: placement_test gap_that_stays_open_holds_up_no_other, failing before.

--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -110,15 +110,11 @@
   }
 
   auto plan() -> layer_plan {
-    // What needs no draining goes first, however little room it leaves.
-    while (missing(count_))
-      if (!use_idle() && !use_redundant(false) && !use_neighbours() &&
-          !use_redundant(true) && !use_shift(options_.least_tokens) &&
-          !use_shift(options_.last_tokens))
-        break;
+    while (close_a_gap()) {
+    }
     // Runners that hold nothing double what is held least.
     if (!missing(count_))
-      while (use_idle()) {
+      while (use_idle(weakest_span(room_))) {
       }
     relieve();
     if (changes_.empty() && !missing(count_) && !reinforce()) ease();
@@ -130,9 +126,35 @@
     return !runner.busy && changes_.count(runner.id) == 0;
   }
 
-  /// Gives the runner the first layers of the weakest span.
-  auto assign(const placed_runner& runner) -> bool {
-    const auto span = weakest_span(room_);
+  /// Runs of layers that nobody holds.
+  auto gaps() const -> std::vector<layer_span> {
+    std::vector<layer_span> found;
+    for (std::int32_t layer = 0; layer < engine_.layers; ++layer) {
+      if (count_[static_cast<std::size_t>(layer)] > 0) continue;
+      if (found.empty() || found.back().to != layer)
+        found.push_back({layer, layer});
+      found.back().to = layer + 1;
+    }
+    return found;
+  }
+
+  /// Closes a part of the first gap that can be; one that has to wait for its
+  /// neighbours holds up no other.
+  auto close_a_gap() -> bool {
+    const auto open = gaps();
+    return std::any_of(open.begin(), open.end(),
+                       [this](layer_span gap) { return close(gap); });
+  }
+
+  /// What needs no draining goes first, however little room it leaves.
+  auto close(layer_span gap) -> bool {
+    return use_idle(gap) || use_redundant(gap, false) || use_neighbours(gap) ||
+           use_redundant(gap, true) || use_shift(gap, options_.least_tokens) ||
+           use_shift(gap, options_.last_tokens);
+  }
+
+  /// Gives the runner the first layers of a span.
+  auto assign(const placed_runner& runner, layer_span span) -> bool {
     const auto most = most_layers(engine_, runner.kind, tokens_);
     const layer_span given{span.from, std::min(span.to, span.from + most)};
     return change(runner, given);
@@ -157,16 +179,18 @@
     return true;
   }
 
-  auto use_idle() -> bool {
+  auto use_idle(layer_span span) -> bool {
     for (const auto* runner : runners_)
-      if (runner->held.empty() && free(*runner) && assign(*runner)) return true;
+      if (runner->held.empty() && free(*runner) && assign(*runner, span))
+        return true;
     return false;
   }
 
-  auto use_redundant(bool working) -> bool {
+  auto use_redundant(layer_span span, bool working) -> bool {
     for (const auto* runner : runners_)
       if (!runner->held.empty() && runner->working == working &&
-          free(*runner) && redundant(*runner, settled_) && assign(*runner))
+          free(*runner) && redundant(*runner, settled_) &&
+          assign(*runner, span))
         return true;
     return false;
   }
@@ -181,10 +205,11 @@
           !redundant(*runner, settled_))
         continue;
       auto moved = *this;
-      if (!moved.assign(*runner)) continue;
+      const auto span = weakest_span(room_);
+      if (!moved.assign(*runner, span)) continue;
       const auto after =
           *std::min_element(moved.room_.begin(), moved.room_.end());
-      if (after > ease_gain * least) return assign(*runner);
+      if (after > ease_gain * least) return assign(*runner, span);
     }
     return false;
   }
@@ -199,8 +224,7 @@
 
   /// Extends the holders beside the gap, with as much room for requests left
   /// on both as closes it.
-  auto use_neighbours() -> bool {
-    const auto gap = weakest_span(room_);
+  auto use_neighbours(layer_span gap) -> bool {
     const auto* below = next_to(gap.from, false);
     const auto* above = next_to(gap.to, true);
     auto tokens = options_.least_tokens;
@@ -236,8 +260,7 @@
 
   /// Where the neighbours of a gap have no room, moves their layers towards it
   /// and closes it at the next runner that has some.
-  auto use_shift(double tokens) -> bool {
-    const auto gap = weakest_span(room_);
+  auto use_shift(layer_span gap, double tokens) -> bool {
     return shift_towards(gap, tokens, true) ||
            shift_towards(gap, tokens, false);
   }
--- a/test/placement_test.cpp
+++ b/test/placement_test.cpp
@@ -99,6 +99,7 @@
   CPPUNIT_TEST(second_loss_after_the_first_is_repaired);
   CPPUNIT_TEST(returned_runner_relieves_its_neighbours);
   CPPUNIT_TEST(gap_is_closed_without_draining_a_runner);
+  CPPUNIT_TEST(gap_that_stays_open_holds_up_no_other);
   CPPUNIT_TEST(runner_under_an_order_is_left_alone);
   CPPUNIT_TEST(layers_still_loading_relieve_nobody);
   CPPUNIT_TEST(leaders_decide_alike);
@@ -211,6 +212,24 @@
     }
   }
 
+  /// Found by a hunt: the largest runner of a zone left and another one after
+  /// it; a layer that nobody could take yet kept the others from being loaded.
+  auto gap_that_stays_open_holds_up_no_other() -> void {
+    const auto whole = placed();
+    for (const auto& second : whole) {
+      if (second.zone != "z1" || second.id == "z1-large-0") continue;
+      auto runners = whole;
+      for (const auto& lost : {std::string("z1-large-0"), second.id})
+        runners.erase(
+            std::find_if(runners.begin(), runners.end(),
+                         [&](const auto& each) { return each.id == lost; }));
+      for (auto& runner : runners)
+        runner.working = true;
+      settle(runners);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(second.id, 0, missing_in(runners, "z1"));
+    }
+  }
+
   auto runner_under_an_order_is_left_alone() -> void {
     auto runners = placed();
     for (auto& runner : runners)
