Let one piece of code serve both fronts' queues, hosts and directory notes

Found on reading the whole change again: - The leader named the replicas twice in each renewal reply that it granted, by the same loop; once is enough. - front_server and entry_server kept the same queue upkeep: service_queues makes a service's queue, posted_task (also for the two of the control daemon) runs work once however often it was scheduled, router::choose_even_avoided falls back on endpoints that failed the request. - front_host and request_host declared the same calls: dispatch_host. - The directory's setters each looked up, compared and noted: update and note.

--- a/include/pollenloft/admission.hpp
+++ b/include/pollenloft/admission.hpp
@@ -128,6 +128,24 @@
   instant window_start_{};
 };
 
+/// A VM's queues, one for each service, made when first used.
+class service_queues {
+ public:
+  using queue_map = std::map<std::string, fair_queue>;
+
+  service_queues(std::size_t most_queued, std::uint64_t seed)
+      : most_queued_(most_queued), seed_(seed) {}
+
+  auto of(const std::string& service) -> fair_queue&;
+  auto begin() -> queue_map::iterator { return queues_.begin(); }
+  auto end() -> queue_map::iterator { return queues_.end(); }
+
+ private:
+  std::size_t most_queued_;
+  std::uint64_t seed_;
+  queue_map queues_;
+};
+
 }  // namespace pollenloft
 
 #endif
--- a/include/pollenloft/control.hpp
+++ b/include/pollenloft/control.hpp
@@ -215,7 +215,12 @@
 
  private:
   auto touch(wire::endpoint_record& record) -> void;
-  auto note(wire::endpoint_record& record) -> void;
+  /// Changes a record; false if it is not known or was like that.
+  template <class Change>
+  auto update(const std::string& id, Change change) -> bool;
+  /// The same for what the leader notes.
+  template <class Change>
+  auto note(const std::string& id, Change change) -> bool;
 
   std::map<std::string, wire::endpoint_record> records_;
   std::map<std::int64_t, std::string> by_sequence_;
--- a/include/pollenloft/net.hpp
+++ b/include/pollenloft/net.hpp
@@ -58,6 +58,22 @@
   std::unique_ptr<impl> impl_;
 };
 
+/// Work that runs once after the callbacks that are now running, however often
+/// it was scheduled by them.
+class posted_task {
+ public:
+  posted_task(event_loop& loop, task work)
+      : loop_(loop), work_(std::move(work)) {}
+  posted_task(const posted_task&) = delete;
+  auto operator=(const posted_task&) -> posted_task& = delete;
+  auto schedule() -> void;
+
+ private:
+  event_loop& loop_;
+  task work_;
+  bool posted_ = false;
+};
+
 /// Header fields; lookups ignore case.
 class http_headers {
  public:
--- a/include/pollenloft/route.hpp
+++ b/include/pollenloft/route.hpp
@@ -131,6 +131,9 @@
   /// A chain over [0, layers) with a free place on every stage, or empty.
   auto choose(const chain_request& request, instant now)
       -> std::optional<chain>;
+  /// The same, but endpoints that the request avoids are better than none.
+  auto choose_even_avoided(chain_request request, instant now)
+      -> std::optional<chain>;
   /// What kept `choose` from finding a chain, by availability zone.
   auto shortages(const chain_request& request, instant now) const
       -> std::map<std::string, chain_shortage>;
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -226,4 +226,13 @@
   }
 }
 
+auto service_queues::of(const std::string& service) -> fair_queue& {
+  const auto found = queues_.find(service);
+  if (found != queues_.end()) return found->second;
+  admission_options options;
+  options.most_queued = most_queued_;
+  return queues_.emplace(service, fair_queue(options, hash64(service, seed_)))
+      .first->second;
+}
+
 }  // namespace pollenloft
--- a/src/caller_request.hpp
+++ b/src/caller_request.hpp
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "control_client.hpp"
+#include "dispatch_host.hpp"
 #include "pollenloft/admission.hpp"
 #include "pollenloft/engine.hpp"
 #include "pollenloft/lifecycle.hpp"
@@ -20,18 +21,9 @@
 using caller_request_ptr = std::shared_ptr<caller_request>;
 
 /// What a request needs of its entry VM.
-class request_host {
+class request_host : public dispatch_host<caller_request> {
  public:
-  request_host() = default;
-  virtual ~request_host() = default;
-  request_host(const request_host&) = delete;
-  auto operator=(const request_host&) -> request_host& = delete;
-
-  virtual auto loop() -> event_loop& = 0;
-  virtual auto client() -> http_client& = 0;
   virtual auto control() -> control_client& = 0;
-  virtual auto routes() -> router& = 0;
-  virtual auto numbers() -> metrics& = 0;
   virtual auto request_chart() const -> const chart& = 0;
   virtual auto budget() -> retry_budget& = 0;
   /// Names a mechanism that a check has switched off; empty in production.
@@ -40,14 +32,6 @@
   virtual auto vm_incarnation() const -> const std::string& = 0;
   /// The account gets more than its share over all VMs.
   virtual auto over_share(const std::string& account) const -> bool = 0;
-  /// Queues a request, at the front if it was dispatched before.
-  virtual auto enqueue(const caller_request_ptr& request, bool again)
-      -> void = 0;
-  virtual auto dequeue(const caller_request_ptr& request) -> void = 0;
-  /// A dispatch has ended: places on its endpoints are free again.
-  virtual auto place_freed(const caller_request_ptr& request, double cost)
-      -> void = 0;
-  virtual auto request_ended(const caller_request_ptr& request) -> void = 0;
 };
 
 /// A request as its caller put it.
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -498,60 +498,53 @@
   noted_ = term << count_bits;
 }
 
-auto endpoint_directory::note(wire::endpoint_record& record) -> void {
-  record.noted = ++noted_;
-  touch(record);
+template <class Change>
+auto endpoint_directory::update(const std::string& id, Change change) -> bool {
+  const auto found = records_.find(id);
+  if (found == records_.end()) return false;
+  auto next = found->second;
+  change(next);
+  if (next == found->second) return false;
+  found->second = std::move(next);
+  touch(found->second);
+  return true;
+}
+
+template <class Change>
+auto endpoint_directory::note(const std::string& id, Change change) -> bool {
+  if (!update(id, change)) return false;
+  records_.at(id).noted = ++noted_;
+  return true;
 }
 
 auto endpoint_directory::set_layers(const std::string& id, std::int32_t first,
                                     std::int32_t last) -> bool {
-  const auto found = records_.find(id);
-  if (found == records_.end()) return false;
-  auto& record = found->second;
-  if (record.first_layer == first && record.last_layer == last) return false;
-  record.first_layer = first;
-  record.last_layer = last;
-  note(record);
-  return true;
+  return note(id, [&](auto& record) {
+    record.first_layer = first;
+    record.last_layer = last;
+  });
 }
 
 auto endpoint_directory::set_load(const std::string& id, std::int32_t fill,
                                   std::int32_t slowdown) -> bool {
-  const auto found = records_.find(id);
-  if (found == records_.end()) return false;
-  auto& record = found->second;
-  if (record.fill == fill && record.slowdown == slowdown) return false;
-  record.fill = fill;
-  record.slowdown = slowdown;
-  note(record);
-  return true;
+  return note(id, [&](auto& record) {
+    record.fill = fill;
+    record.slowdown = slowdown;
+  });
 }
 
 auto endpoint_directory::set_unreachable(const std::string& id,
                                          bool unreachable) -> bool {
-  const auto found = records_.find(id);
-  if (found == records_.end() || found->second.unreachable == unreachable)
-    return false;
-  found->second.unreachable = unreachable;
-  note(found->second);
-  return true;
+  return note(id, [&](auto& record) { record.unreachable = unreachable; });
 }
 
 auto endpoint_directory::set_silent(const std::string& id, bool silent)
     -> bool {
-  const auto found = records_.find(id);
-  if (found == records_.end() || found->second.silent == silent) return false;
-  found->second.silent = silent;
-  touch(found->second);
-  return true;
+  return update(id, [&](auto& record) { record.silent = silent; });
 }
 
 auto endpoint_directory::displace(const std::string& id) -> bool {
-  const auto found = records_.find(id);
-  if (found == records_.end() || found->second.displaced) return false;
-  found->second.displaced = true;
-  touch(found->second);
-  return true;
+  return update(id, [](auto& record) { record.displaced = true; });
 }
 
 auto endpoint_directory::digest() const -> std::uint64_t {
@@ -564,12 +557,9 @@
 }
 
 auto endpoint_directory::end(const std::string& id) -> bool {
-  const auto found = records_.find(id);
-  const auto gone = static_cast<std::int8_t>(endpoint_state::gone);
-  if (found == records_.end() || found->second.state == gone) return false;
-  found->second.state = gone;
-  touch(found->second);
-  return true;
+  return update(id, [](auto& record) {
+    record.state = static_cast<std::int8_t>(endpoint_state::gone);
+  });
 }
 
 auto endpoint_directory::changes_after(std::int64_t sequence) const
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -119,7 +119,7 @@
     if (metrics_address_ && !metrics_server_.listen(*metrics_address_))
       return std::nullopt;
     ticker_ = loop_.every(tick_period, [this] { tick(); });
-    schedule_flush();
+    flushing_.schedule();
     return true;
   }
 
@@ -168,7 +168,7 @@
     news.sender = static_cast<std::int32_t>(id_);
     post_to(member, "/peer/directory", encode_wire(news));
   }
-  auto directory_changed() -> void override { schedule_wake(); }
+  auto directory_changed() -> void override { waking_.schedule(); }
 
  private:
   using reply_slot = sigc::slot<void(const std::optional<command_reply>&)>;
@@ -256,7 +256,7 @@
     keep_membership(now);
     answer_renewals(now);
     answer_patches(now);
-    schedule_flush();
+    flushing_.schedule();
   }
 
   auto note_role(instant now) -> void {
@@ -318,17 +318,10 @@
 
   auto submit(const wire::command& command, reply_slot done) -> void {
     commands_.push_back({encode_wire(command), std::move(done)});
-    schedule_flush();
-  }
-
-  auto schedule_flush() -> void {
-    if (flush_posted_) return;
-    flush_posted_ = true;
-    loop_.post([this] { flush(); });
+    flushing_.schedule();
   }
 
   auto flush() -> void {
-    flush_posted_ = false;
     propose_commands();
     while (!failed_) {
       auto effects = replica_.take_effects();
@@ -379,7 +372,7 @@
       else
         waiting.done(std::nullopt);
     }
-    schedule_wake();
+    waking_.schedule();
   }
 
   auto fail_pending() -> void {
@@ -455,7 +448,7 @@
     }
     if (!replica_.propose_members(members, boottime_clock::now()))
       log_failure("member.change_refused", last_error());
-    schedule_flush();
+    flushing_.schedule();
   }
 
   /// The member that has been away longest, if for long enough.
@@ -531,7 +524,7 @@
       if (decoded && decoded->to == id_)
         replica_.receive(*decoded, boottime_clock::now());
     }
-    schedule_flush();
+    flushing_.schedule();
   }
 
   auto take_renewal(const exchange_ptr& call) -> void {
@@ -543,10 +536,10 @@
     leases_.renew(*request, now);
     if (request->first || news_for(*request)) {
       answer_renewal(call, *request);
-      return schedule_wake();
+      return waking_.schedule();
     }
     waiting_.push_back({call, std::move(*request), now + leases_.lease() / 4});
-    schedule_wake();
+    waking_.schedule();
   }
 
   auto news_for(const wire::renew_request& request) const -> bool {
@@ -557,15 +550,10 @@
            request.directory_sequence != directory_.sequence();
   }
 
-  auto schedule_wake() -> void {
-    if (wake_posted_) return;
-    wake_posted_ = true;
-    loop_.post([this] {
-      wake_posted_ = false;
-      const auto now = boottime_clock::now();
-      answer_renewals(now);
-      answer_patches(now);
-    });
+  auto answer_waiting() -> void {
+    const auto now = boottime_clock::now();
+    answer_renewals(now);
+    answer_patches(now);
   }
 
   auto answer_renewals(instant now) -> void {
@@ -603,9 +591,6 @@
     const auto& document = state_.document();
     reply.document = document.number;
     if (request.document < document.number) reply.document_text = document.text;
-    for (auto id : replica_.members())
-      if (const auto address = peer_address(id))
-        reply.replicas.push_back(address->text());
     reply.directory_full = request.term != reply.term;
     reply.directory_sequence = directory_.sequence();
     reply.endpoints = directory_.changes_after(
@@ -625,7 +610,7 @@
     reply.accepted = in_charge();
     if (reply.accepted) directory_.merge(request->endpoints);
     wire_reply(call, reply);
-    schedule_wake();
+    waking_.schedule();
   }
 
   auto take_claim(const exchange_ptr& call) -> void {
@@ -716,7 +701,7 @@
         overloaded{[&](const patch_accepted& accepted) {
                      patches_.push_back({call, accepted.version,
                                          boottime_clock::now() + patch_wait});
-                     schedule_wake();
+                     waking_.schedule();
                    },
                    [&](const patch_refused& refused) {
                      json_reply(call, 409,
@@ -755,7 +740,7 @@
           if (!reply) return refuse_not_leader(call);
           json_reply(call, 200, {{"members", replica_.members()}});
         }};
-    schedule_flush();
+    flushing_.schedule();
   }
 
   // --- views -------------------------------------------------------------
@@ -817,8 +802,8 @@
   timer stopping_;
   replica_role role_ = replica_role::follower;
   log_term noted_term_ = 0;
-  bool flush_posted_ = false;
-  bool wake_posted_ = false;
+  posted_task flushing_{loop_, [this] { flush(); }};
+  posted_task waking_{loop_, [this] { answer_waiting(); }};
   bool failed_ = false;
   std::vector<pending_command> commands_;
   std::map<log_index, pending_entry> pending_;
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -49,7 +49,9 @@
           {options_.vm, incarnation_, options_.zone, options_.listen.text(),
            options_.control, options_.document_freshness}),
       owner_(options_.vm, options_.listen.text()),
-      router_(options_.routing, options_.seed) {
+      router_(options_.routing, options_.seed),
+      queues_(options_.most_queued, options_.seed),
+      pumping_(loop_, [this] { pump(); }) {
   control_.config_changed.connect([this] { apply_config(); });
   control_.endpoints_changed.connect([this](const auto& records, bool whole) {
     apply_endpoints(records, whole);
@@ -250,7 +252,7 @@
   control_.set_draining(drain);
   if (drain && phase_ == drain_phase::serving) phase_ = drain_phase::notice;
   if (!drain && phase_ == drain_phase::notice) phase_ = drain_phase::serving;
-  schedule_pump();
+  pumping_.schedule();
 }
 
 auto entry_server::apply_endpoints(
@@ -269,7 +271,7 @@
     else
       directory_[record.id] = record;
   }
-  schedule_pump();
+  pumping_.schedule();
 }
 
 auto entry_server::apply_record(const wire::endpoint_record& record) -> void {
@@ -300,25 +302,15 @@
 
 // --- queues ----------------------------------------------------------------
 
-auto entry_server::queue_of(const std::string& service) -> fair_queue& {
-  const auto found = queues_.find(service);
-  if (found != queues_.end()) return found->second;
-  admission_options options;
-  options.most_queued = options_.most_queued;
-  return queues_
-      .emplace(service, fair_queue(options, hash64(service, options_.seed)))
-      .first->second;
-}
-
 auto entry_server::enqueue(const caller_request_ptr& request, bool again)
     -> void {
   const auto& given = request->parameters();
-  auto& queue = queue_of(given.service_name);
+  auto& queue = queues_.of(given.service_name);
   const queued_request item{given.id,       given.account,   given.weight,
                             given.priority, request->cost(), given.deadline};
   if (again) {
     queue.requeue(item);
-    return schedule_pump();
+    return pumping_.schedule();
   }
   const auto answer = queue.offer(item, boottime_clock::now());
   if (const auto* no = std::get_if<refused>(&answer)) {
@@ -327,36 +319,29 @@
   if (const auto evicted = std::get<admitted>(answer).evicted)
     requests_.at(*evicted)->refuse("the queue is full",
                                    queue.retry_after(milliseconds(500)));
-  schedule_pump();
+  pumping_.schedule();
 }
 
 auto entry_server::dequeue(const caller_request_ptr& request) -> void {
   const auto& given = request->parameters();
-  queue_of(given.service_name).remove(given.id, false);
+  queues_.of(given.service_name).remove(given.id, false);
 }
 
 auto entry_server::place_freed(const caller_request_ptr& request, double cost)
     -> void {
   const auto& given = request->parameters();
   if (cost > 0) {
-    queue_of(given.service_name).finished(cost, boottime_clock::now());
+    queues_.of(given.service_name).finished(cost, boottime_clock::now());
     used_[given.account] += cost;
   }
-  schedule_pump();
+  pumping_.schedule();
 }
 
 auto entry_server::request_ended(const caller_request_ptr& request) -> void {
   requests_.erase(request->parameters().id);
 }
 
-auto entry_server::schedule_pump() -> void {
-  if (pump_posted_) return;
-  pump_posted_ = true;
-  loop_.post([this] { pump(); });
-}
-
 auto entry_server::pump() -> void {
-  pump_posted_ = false;
   const auto now = boottime_clock::now();
   if (!may_serve()) {
     if (had_lease_) log_event(log_level::warning, "lease.lost", {});
@@ -377,10 +362,7 @@
     const auto& account = request->parameters().account;
     auto wanted = request->chain_wanted();
     if (over_share(account)) wanted.reserve = small_account_reserve;
-    auto stages = router_.choose(wanted, now);
-    // Endpoints that failed this request are better than none.
-    wanted.avoid = nullptr;
-    if (!stages) stages = router_.choose(wanted, now);
+    auto stages = router_.choose_even_avoided(wanted, now);
     if (!stages && wanted.reserve > 0) {
       blocked.insert(account);  // what is reserved may suit another account
       continue;
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -89,8 +89,6 @@
                        bool whole) -> void;
   auto apply_record(const wire::endpoint_record& record) -> void;
   auto drop_unconfirmed() -> void;
-  auto queue_of(const std::string& service) -> fair_queue&;
-  auto schedule_pump() -> void;
   auto pump() -> void;
   auto pump_queue(fair_queue& queue, instant now) -> void;
   auto refuse_queued(const std::string& reason, milliseconds retry_after)
@@ -115,10 +113,10 @@
   timer drain_timer_;
   timer grace_timer_;
   drain_phase phase_ = drain_phase::serving;
-  bool pump_posted_ = false;
   bool had_lease_ = false;
   request_id next_request_ = 0;
-  std::map<std::string, fair_queue> queues_;
+  service_queues queues_;
+  posted_task pumping_;
   std::unordered_map<request_id, caller_request_ptr> requests_;
   std::map<std::string, wire::endpoint_record> directory_;
   std::map<std::string, instant> unconfirmed_;
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 
+#include "dispatch_host.hpp"
 #include "platform/platform.hpp"
 #include "pollenloft/admission.hpp"
 #include "pollenloft/ingress.hpp"
@@ -22,24 +23,9 @@
 using front_request_ptr = std::shared_ptr<front_request>;
 
 /// What a front request needs of the VM that runs it.
-class front_host {
+class front_host : public dispatch_host<front_request> {
  public:
-  front_host() = default;
-  front_host(const front_host&) = delete;
-  auto operator=(const front_host&) -> front_host& = delete;
-  virtual ~front_host() = default;
-  virtual auto loop() -> event_loop& = 0;
-  virtual auto client() -> http_client& = 0;
-  virtual auto numbers() -> metrics& = 0;
-  virtual auto routes() -> router& = 0;
   virtual auto draining() const -> bool = 0;
-  virtual auto enqueue(const front_request_ptr& request, bool again)
-      -> void = 0;
-  virtual auto dequeue(const front_request_ptr& request) -> void = 0;
-  /// Endpoints were freed; work of `cost` was done.
-  virtual auto place_freed(const front_request_ptr& request, double cost)
-      -> void = 0;
-  virtual auto request_ended(const front_request_ptr& request) -> void = 0;
 };
 
 /// What was read and decided before a request is queued.
--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -58,7 +58,9 @@
       readiness_(loop_, http_limits{},
                  [this](const exchange_ptr& call) { show_ready(call); }),
       router_(options_.routing, options_.seed),
-      random_(options_.seed) {
+      random_(options_.seed),
+      queues_(options_.most_queued, options_.seed),
+      pumping_(loop_, [this] { pump(); }) {
   control_.document_changed.connect([this] { apply_document(); });
   // Even a whole directory only adds: a new leader may not have heard of all
   // endpoints yet, and what it does not name stays until it ends or fails.
@@ -193,7 +195,7 @@
   table_ = std::make_shared<const route_table>(std::move(config));
   for (const auto& [id, record] : directory_)
     apply_record(record);
-  schedule_pump();
+  pumping_.schedule();
   // The endpoints come in the same message, after the document.
   loop_.post([this] { take_held(); });
 }
@@ -213,7 +215,7 @@
   }
   for (const auto& id : lost)
     leave_endpoint(id);
-  schedule_pump();
+  pumping_.schedule();
 }
 
 auto front_server::leave_endpoint(const std::string& id) -> void {
@@ -251,20 +253,10 @@
 
 // --- queues ------------------------------------------------------------------
 
-auto front_server::queue_of(const std::string& service) -> fair_queue& {
-  const auto found = queues_.find(service);
-  if (found != queues_.end()) return found->second;
-  admission_options options;
-  options.most_queued = options_.most_queued;
-  return queues_
-      .emplace(service, fair_queue(options, hash64(service, options_.seed)))
-      .first->second;
-}
-
 auto front_server::enqueue(const front_request_ptr& request, bool again)
     -> void {
   const auto& given = request->parameters();
-  auto& queue = queue_of(given.service);
+  auto& queue = queues_.of(given.service);
   const queued_request item{given.id,
                             given.account,
                             1,
@@ -273,7 +265,7 @@
                             given.accepted + wait_limit(*given.route)};
   if (again) {
     queue.requeue(item);
-    return schedule_pump();
+    return pumping_.schedule();
   }
   const auto answer = queue.offer(item, boottime_clock::now());
   if (const auto* no = std::get_if<refused>(&answer))
@@ -285,29 +277,22 @@
 
 auto front_server::dequeue(const front_request_ptr& request) -> void {
   const auto& given = request->parameters();
-  queue_of(given.service).remove(given.id, false);
+  queues_.of(given.service).remove(given.id, false);
 }
 
 auto front_server::place_freed(const front_request_ptr& request, double cost)
     -> void {
   if (cost > 0)
-    queue_of(request->parameters().service)
+    queues_.of(request->parameters().service)
         .finished(cost, boottime_clock::now());
-  schedule_pump();
+  pumping_.schedule();
 }
 
 auto front_server::request_ended(const front_request_ptr& request) -> void {
   requests_.erase(request->parameters().id);
 }
 
-auto front_server::schedule_pump() -> void {
-  if (pump_posted_) return;
-  pump_posted_ = true;
-  loop_.post([this] { pump(); });
-}
-
 auto front_server::pump() -> void {
-  pump_posted_ = false;
   const auto now = boottime_clock::now();
   for (auto& [service, queue] : queues_)
     pump_queue(queue, now);
@@ -339,11 +324,7 @@
       request->refuse(503, "the key may have been taken away", refusal_pause);
       continue;
     }
-    auto wanted = request->chain_wanted();
-    auto stages = router_.choose(wanted, now);
-    // Endpoints that failed this request are better than none.
-    wanted.avoid = nullptr;
-    if (!stages) stages = router_.choose(wanted, now);
+    auto stages = router_.choose_even_avoided(request->chain_wanted(), now);
     if (!stages) return;
     queue.remove(*id, true);
     request->dispatch(std::move(*stages));
--- a/src/front_server.hpp
+++ b/src/front_server.hpp
@@ -69,8 +69,6 @@
       -> void;
   auto apply_record(const wire::endpoint_record& record) -> void;
   auto leave_endpoint(const std::string& id) -> void;
-  auto queue_of(const std::string& service) -> fair_queue&;
-  auto schedule_pump() -> void;
   auto pump() -> void;
   auto share_links() -> void;
   auto pump_queue(fair_queue& queue, instant now) -> void;
@@ -97,12 +95,12 @@
   std::map<std::string, retry_budget> budgets_;  // by service
   std::shared_ptr<const route_table> table_;
   std::map<std::string, wire::endpoint_record> directory_;
-  std::map<std::string, fair_queue> queues_;
+  service_queues queues_;
+  posted_task pumping_;
   std::unordered_map<request_id, front_request_ptr> requests_;
   std::deque<held_call> held_;  // oldest first
   request_id next_request_ = 0;
   timer ticker_;
-  bool pump_posted_ = false;
   bool draining_ = false;
   bool refusing_ = false;  // the end of a drain
   timer drain_timer_;
--- a/src/net.cpp
+++ b/src/net.cpp
@@ -137,6 +137,15 @@
   impl_->work.push_back(std::move(work));
 }
 
+auto posted_task::schedule() -> void {
+  if (posted_) return;
+  posted_ = true;
+  loop_.post([this] {
+    posted_ = false;
+    work_();
+  });
+}
+
 auto event_loop::after(duration delay, task work) -> timer {
   auto pending = std::make_unique<timer::impl>();
   pending->work = std::move(work);
--- a/src/route.cpp
+++ b/src/route.cpp
@@ -521,6 +521,14 @@
   return stages;
 }
 
+auto router::choose_even_avoided(chain_request request, instant now)
+    -> std::optional<chain> {
+  auto stages = choose(request, now);
+  request.avoid = nullptr;
+  if (!stages) stages = choose(request, now);
+  return stages;
+}
+
 auto router::shortages(const chain_request& request, instant now) const
     -> std::map<std::string, chain_shortage> {
   std::map<std::string, chain_shortage> found;
