Log interrupted renewals, document transfers and the bytes behind elections

Entry VMs log renewal.interrupted with the bytes received, document.in_force with size, transfer and apply time, and the document's age at each refusal; metrics count renewals and bytes by result. Control VMs log loop.delayed and the bytes sent before each change of role, and count log entries sent to each peer.

--- a/include/pollenloft/net.hpp
+++ b/include/pollenloft/net.hpp
@@ -199,6 +199,7 @@
 /// The call failed after it may have reached the peer.
 struct call_interrupted {
   error cause;
+  std::size_t body_bytes = 0;  ///< of the response, received until then
 };
 /// How a call ended.
 using call_result = std::variant<call_completed, call_unsent, call_interrupted>;
--- a/src/control_client.cpp
+++ b/src/control_client.cpp
@@ -16,6 +16,14 @@
 /// Shortens the lease by 1/50 (2%) to allow for clock drift.
 constexpr int clock_drift_divisor = 50;
 
+/// Time since `start`; -1 if there is no start.
+auto elapsed_ms(std::optional<instant> start) -> std::int64_t {
+  if (!start) return -1;
+  return std::chrono::duration_cast<milliseconds>(boottime_clock::now() -
+                                                  *start)
+      .count();
+}
+
 }  // namespace
 
 control_client::control_client(event_loop& loop, http_client& client,
@@ -78,17 +86,43 @@
   client_.send(call, {{}, {}, [this, sent](const auto& result, auto body) {
                         if (std::holds_alternative<call_completed>(result))
                           return handle_renewal(sent, body);
-                        select_next_replica();
-                        retry_ = loop_.after(retry_delay, [this] { renew(); });
+                        handle_failed_renewal(sent, result);
                       }});
 }
 
+auto control_client::handle_failed_renewal(instant sent,
+                                           const call_result& result) -> void {
+  error cause;
+  std::size_t bytes = 0;
+  if (const auto* unsent = std::get_if<call_unsent>(&result))
+    cause = unsent->cause;
+  if (const auto* interrupted = std::get_if<call_interrupted>(&result)) {
+    cause = interrupted->cause;
+    bytes = interrupted->body_bytes;
+  }
+  ++renewals_.interrupted;
+  renewals_.interrupted_bytes += bytes;
+  log_event(log_level::warning, "renewal.interrupted",
+            {{"step", cause.step},
+             {"peer", cause.peer},
+             {"reason", cause.reason},
+             {"received_bytes", bytes},
+             {"elapsed_ms", elapsed_ms(sent)},
+             {"document", document_.number},
+             {"document_age_ms", elapsed_ms(document_confirmed_at_)}});
+  select_next_replica();
+  retry_ = loop_.after(retry_delay, [this] { renew(); });
+}
+
 auto control_client::handle_renewal(instant sent, std::string_view body)
     -> void {
   const auto reply = decode_wire<wire::renew_reply>(body);
   const auto granted = reply && reply->granted;
   if (reply) add_reported_replicas(*reply);
+  ++renewals_.completed;
+  renewals_.received_bytes += body.size();
   if (!granted || !apply_document(*reply, sent) || !apply_config(*reply)) {
+    ++renewals_.refused;
     select_leader(reply ? reply->leader : "");
     retry_ = loop_.after(retry_delay, [this] { renew(); });
     return;
@@ -157,9 +191,14 @@
   }
   document_confirmed_at_ = sent;
   if (changed) {
-    log_event(log_level::info, "document.in_force",
-              {{"number", document_.number}, {"term", reply.term}});
+    const auto received = boottime_clock::now();
     document_changed.emit();
+    log_event(log_level::info, "document.in_force",
+              {{"number", document_.number},
+               {"term", reply.term},
+               {"bytes", document_.text.size()},
+               {"transfer_ms", elapsed_ms(sent) - elapsed_ms(received)},
+               {"apply_ms", elapsed_ms(received)}});
   }
   return true;
 }
--- a/src/control_client.hpp
+++ b/src/control_client.hpp
@@ -26,6 +26,15 @@
   duration max_document_age = std::chrono::seconds(4);
 };
 
+/// Renewals of the configuration lease since the process started.
+struct renewal_counters {
+  std::uint64_t completed = 0;
+  std::uint64_t interrupted = 0;
+  std::uint64_t refused = 0;            ///< not granted, or not applicable
+  std::uint64_t received_bytes = 0;     ///< of completed renewals
+  std::uint64_t interrupted_bytes = 0;  ///< received in vain
+};
+
 class control_client {
  public:
   using claim_handler =
@@ -52,6 +61,7 @@
   /// Adds control replicas to try, besides those named by the leader.
   auto add_replicas(const std::vector<socket_address>& replicas) -> void;
   auto term() const -> std::int64_t { return term_; }
+  auto renewals() const -> const renewal_counters& { return renewals_; }
   auto vm_count() const -> std::size_t { return vm_count_; }
   /// The client accounts with the highest usage, summed over all VMs.
   auto cluster_usage() const
@@ -97,6 +107,7 @@
 
   auto renew() -> void;
   auto handle_renewal(instant sent, std::string_view body) -> void;
+  auto handle_failed_renewal(instant sent, const call_result& result) -> void;
   auto apply_config(const wire::renew_reply& reply) -> bool;
   auto apply_document(const wire::renew_reply& reply, instant sent) -> bool;
   auto add_reported_replicas(const wire::renew_reply& reply) -> void;
@@ -125,6 +136,7 @@
   std::size_t pending_settlements_ = 0;
   std::map<std::string, wire::account_usage> usage_;
   std::map<std::int64_t, int> crash_points_;
+  renewal_counters renewals_;
   usage_source usage_source_;
   timer retry_;
 };
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -36,6 +36,8 @@
 constexpr std::size_t max_reported_accounts = 16;
 constexpr std::size_t max_sent_crash_records = 100;
 constexpr std::uint64_t min_compaction_bytes = 4 * 1024 * 1024;
+/// A tick that starts later than this after the previous one is logged.
+constexpr auto max_tick_delay = milliseconds(100);
 
 const std::vector<setting> known_settings{
     {"id", "0", number_range{0, UINT32_MAX},
@@ -250,6 +252,7 @@
 
   auto tick() -> void {
     const auto now = boottime_clock::now();
+    observe_tick_delay(now);
     replica_.tick(now);
     handle_role_change(now);
     if (is_active_leader()) run_leader_tasks(now);
@@ -263,6 +266,16 @@
     flush_task_.schedule();
   }
 
+  /// The delay shows work that blocked the loop.
+  auto observe_tick_delay(instant now) -> void {
+    const auto previous = std::exchange(last_tick_, now);
+    const auto delay = now - previous - tick_interval;
+    if (previous != instant{} && delay > max_tick_delay)
+      log_event(log_level::warning, "loop.delayed",
+                {{"delay_ms",
+                  std::chrono::duration_cast<milliseconds>(delay).count()}});
+  }
+
   auto handle_role_change(instant now) -> void {
     if (replica_.role() == known_role_ && replica_.term() == known_term_)
       return;
@@ -270,10 +283,16 @@
     const auto led = known_role_ == replica_role::leader;
     known_role_ = replica_.role();
     known_term_ = replica_.term();
-    log_event(log_level::info, "role.changed",
-              {{"role", role_name()},
-               {"term", replica_.term()},
-               {"leader", replica_.leader()}});
+    log_event(
+        log_level::info, "role.changed",
+        {{"role", role_name()},
+         {"term", replica_.term()},
+         {"leader", replica_.leader()},
+         {"leader_contact_age_ms", std::chrono::duration_cast<milliseconds>(
+                                       now - replica_.last_leader_contact())
+                                       .count()},
+         {"renewal_state_bytes", renewal_state_bytes_},
+         {"peer_bytes", control_bytes_}});
     if (leads) {
       leases_.start_term(now);
       leader_since_ = now;
@@ -405,8 +424,11 @@
 
   auto send_messages(const std::vector<replica_message>& messages) -> void {
     std::map<replica_id, wire::message_batch> batches;
-    for (const auto& message : messages)
+    for (const auto& message : messages) {
       batches[message.to].messages.push_back(to_wire(message));
+      if (const auto* append = std::get_if<append_request>(&message.body))
+        entries_sent_[message.to] += append->entries.size();
+    }
     for (const auto& [to, batch] : batches)
       send_batch(to, batch);
   }
@@ -610,9 +632,12 @@
         reply.directory_full ? 0 : request.directory_sequence);
     reply.vm_count = static_cast<std::int32_t>(leases_.live_count(now));
     reply.usage = leases_.heaviest_accounts(max_reported_accounts, now);
+    renewal_state_bytes_ +=
+        reply.document_text.size() + reply.configuration.size();
     reply.blames = state_.crash_records();
     if (reply.blames.size() > max_sent_crash_records)
       reply.blames.resize(max_sent_crash_records);
+    if (!reply.document_text.empty()) ++document_replies_;
     wire_reply(call, reply);
   }
 
@@ -785,6 +810,18 @@
     metrics_.set("pollenloft_claims",
                  static_cast<double>(state_.claim_count()));
     metrics_.set("pollenloft_renewals_total", static_cast<double>(renewals_));
+    metrics_.set("pollenloft_document_number",
+                 static_cast<double>(state_.document().number));
+    metrics_.set("pollenloft_renewal_state_bytes_total",
+                 static_cast<double>(renewal_state_bytes_));
+    metrics_.set("pollenloft_document_replies_total",
+                 static_cast<double>(document_replies_));
+    for (const auto& [id, entries] : entries_sent_)
+      metrics_.set("pollenloft_log_entries_sent_total",
+                   static_cast<double>(entries),
+                   "peer=\"" + ipv4_text(id) + "\"");
+    metrics_.set("pollenloft_log_entries_total",
+                 static_cast<double>(replica_.last_index()));
     metrics_.set("pollenloft_control_bytes_total",
                  static_cast<double>(control_bytes_));
     metrics_.set("pollenloft_endpoints",
@@ -830,6 +867,10 @@
   std::uint64_t snapshot_bytes_ = 0;
   std::uint64_t renewals_ = 0;
   std::uint64_t control_bytes_ = 0;
+  std::uint64_t renewal_state_bytes_ = 0;
+  std::uint64_t document_replies_ = 0;
+  std::map<replica_id, std::uint64_t> entries_sent_;
+  instant last_tick_{};
 };
 
 auto validate_combinations(const settings& values) -> bool {
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -243,6 +243,22 @@
                static_cast<double>(requests_.size()));
   metrics_.set("pollenloft_config_version",
                static_cast<double>(control_.config().version));
+  metrics_.set("pollenloft_document_number",
+               static_cast<double>(control_.document().number));
+  const auto& renewals = control_.renewals();
+  const auto set_renewals = [this](const std::string& name,
+                                   const std::string& result,
+                                   std::uint64_t count) {
+    metrics_.set(name, static_cast<double>(count), "result=\"" + result + "\"");
+  };
+  set_renewals("pollenloft_renewals_total", "completed", renewals.completed);
+  set_renewals("pollenloft_renewals_total", "interrupted",
+               renewals.interrupted);
+  set_renewals("pollenloft_renewals_total", "refused", renewals.refused);
+  set_renewals("pollenloft_renewal_bytes_total", "completed",
+               renewals.received_bytes);
+  set_renewals("pollenloft_renewal_bytes_total", "interrupted",
+               renewals.interrupted_bytes);
   metrics_.set("pollenloft_ready", ready() ? 1 : 0);
   metrics_.set("pollenloft_endpoints_known",
                static_cast<double>(router_.size()));
--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -98,10 +98,16 @@
                           const std::string& reason) -> void {
   const auto id =
       platform::decode_caller_headers(call->request().headers).request_id;
+  const auto document_age_ms =
+      route_table_
+          ? std::chrono::duration_cast<milliseconds>(control_.document_age())
+                .count()
+          : -1;
   log_event(log_level::info, "request.refused",
             {{"id", id},
              {"status", status},
              {"document", route_table_ ? route_table_->config().number : 0},
+             {"document_age_ms", document_age_ms},
              {"reason", reason}});
   metrics_.add("pollenloft_refused_total",
                "status=\"" + std::to_string(status) + "\"");
--- a/src/net.cpp
+++ b/src/net.cpp
@@ -399,6 +399,7 @@
 struct pending_call::impl {
   event_loop& loop;
   evhttp_connection* connection = nullptr;
+  evhttp_request* request = nullptr;  // owned by the connection
   call_handlers handlers;
   std::string peer;
   std::string step;
@@ -448,8 +449,16 @@
                        &size) == 0;
   }
 
+  /// Bytes of the response body that have arrived so far.
+  auto received_bytes() const -> std::size_t {
+    auto* stream = evhttp_connection_get_bufferevent(connection);
+    return evbuffer_get_length(evhttp_request_get_input_buffer(request)) +
+           evbuffer_get_length(bufferevent_get_input(stream));
+  }
+
   auto on_timeout() -> void {
-    finish(call_interrupted{{step, peer, "timed out"}}, {}, false);
+    finish(call_interrupted{{step, peer, "timed out"}, received_bytes()}, {},
+           false);
   }
 
   auto on_connect_timeout() -> void {
@@ -595,6 +604,7 @@
 
   auto* raw = state.get();
   auto* handle = evhttp_request_new(&pending_call::impl::on_complete, raw);
+  state->request = handle;
   evhttp_request_set_error_cb(handle, &pending_call::impl::on_error);
   evhttp_request_set_header_cb(handle, &pending_call::impl::on_header);
   if (state->handlers.on_data)
