Fetch documents and configurations in parts from any control replica

Callers saw 404 for routes that had been acknowledged seconds before.

The class of the fault: a transfer whose length grows with the state under a fixed time-out, restarted from its beginning. A longer time-out would move the limit, not remove it.

A renewal now only announces the number of the newest document. The text travels as a compressed frame relative to the one the VM holds, in parts of at most 32 KiB; each part is a call with its own time-out, and the next call continues where the last one that arrived ended, at another replica if need be, since equal texts give equal frames. Entry VMs spread over all control replicas. A transfer that has begun is finished before a newer version is fetched. Whole configurations and long lists of patches take the same way. Entry VMs that do not know the parts still get the text in the renewal.

Ruled out: the processor (no loop.delayed), a longer renewal alone (the bytes stay the same).

--- a/src/control_client.cpp
+++ b/src/control_client.cpp
@@ -11,24 +11,47 @@
 constexpr auto renew_timeout = milliseconds(700);
 constexpr auto call_timeout = milliseconds(700);
 constexpr auto retry_delay = milliseconds(30);
+/// Between renewals while the configuration is being fetched.
+constexpr auto transfer_poll_delay = milliseconds(100);
 constexpr auto report_timeout = std::chrono::seconds(10);
 constexpr auto settle_timeout = std::chrono::seconds(30);
 /// Shortens the lease by 1/50 (2%) to allow for clock drift.
 constexpr int clock_drift_divisor = 50;
 
+auto whole_ms(duration time) -> std::int64_t {
+  return std::chrono::duration_cast<milliseconds>(time).count();
+}
+
 /// Time since `start`; -1 if there is no start.
 auto elapsed_ms(std::optional<instant> start) -> std::int64_t {
-  if (!start) return -1;
-  return std::chrono::duration_cast<milliseconds>(boottime_clock::now() -
-                                                  *start)
-      .count();
+  return start ? whole_ms(boottime_clock::now() - *start) : -1;
 }
 
 }  // namespace
 
 control_client::control_client(event_loop& loop, http_client& client,
                                control_client_options options)
-    : loop_(loop), client_(client), options_(std::move(options)) {}
+    : loop_(loop),
+      client_(client),
+      options_(std::move(options)),
+      document_fetcher_(loop, client, state_kind::document,
+                        hash64(options_.vm)),
+      config_fetcher_(loop, client, state_kind::configuration,
+                      hash64(options_.vm)) {
+  const auto replicas = [this]() -> const std::vector<socket_address>& {
+    return options_.replicas;
+  };
+  document_fetcher_.set_sources(replicas, [this] {
+    return state_version{document_.number, document_.text};
+  });
+  document_fetcher_.set_completed_handler(
+      [this](auto fetched) { apply_fetched_document(std::move(fetched)); });
+  config_fetcher_.set_sources(replicas, [this] {
+    return state_version{static_cast<std::int64_t>(config_.version), ""};
+  });
+  config_fetcher_.set_completed_handler(
+      [this](const auto& fetched) { apply_fetched_config(fetched); });
+}
 
 auto control_client::start() -> void {
   renew();
@@ -72,7 +95,8 @@
   request.term = term_;
   request.directory_sequence = directory_sequence_;
   request.draining = draining_;
-  request.document = document_.number;
+  request.document = std::max(document_.number, newest_document_);
+  request.fetches_state = true;
   request.first = first_renewal_;
   if (usage_source_) request.usage = usage_source_();
   http_call call{options_.replicas[target_],
@@ -124,7 +148,9 @@
   if (!granted || !apply_document(*reply, sent) || !apply_config(*reply)) {
     ++renewals_.refused;
     select_leader(reply ? reply->leader : "");
-    retry_ = loop_.after(retry_delay, [this] { renew(); });
+    const auto delay =
+        config_fetcher_.active() ? transfer_poll_delay : retry_delay;
+    retry_ = loop_.after(delay, [this] { renew(); });
     return;
   }
   const auto is_new_term = reply->term != term_;
@@ -184,25 +210,43 @@
                {"leader_number", reply.document}});
     return false;
   }
-  const auto changed = reply.document > document_.number;
-  if (changed) {
-    if (reply.document_text.empty()) return false;
-    document_ = {reply.document, reply.document_text};
-  }
-  document_confirmed_at_ = sent;
-  if (changed) {
-    const auto received = boottime_clock::now();
-    document_changed.emit();
-    log_event(log_level::info, "document.in_force",
-              {{"number", document_.number},
-               {"term", reply.term},
-               {"bytes", document_.text.size()},
-               {"transfer_ms", elapsed_ms(sent) - elapsed_ms(received)},
-               {"apply_ms", elapsed_ms(received)}});
-  }
+  newest_document_ = reply.document;
+  newest_document_announced_ = sent;
+  if (reply.document > document_.number && !reply.document_text.empty())
+    replace_document({{reply.document, reply.document_text},
+                      reply.document_text.size(),
+                      0,
+                      boottime_clock::now() - sent});
+  if (document_outdated())
+    document_fetcher_.fetch(newest_document_);
+  else
+    confirm_document(sent);
   return true;
 }
 
+auto control_client::apply_fetched_document(fetched_state fetched) -> void {
+  replace_document(std::move(fetched));
+  if (!document_outdated()) confirm_document(newest_document_announced_);
+}
+
+auto control_client::replace_document(fetched_state fetched) -> void {
+  document_ = {fetched.state.version, std::move(fetched.state.text)};
+  const auto received = boottime_clock::now();
+  document_changed.emit();
+  log_event(log_level::info, "document.in_force",
+            {{"number", document_.number},
+             {"bytes", document_.text.size()},
+             {"frame_bytes", fetched.frame_bytes},
+             {"failed_calls", fetched.failed_calls},
+             {"transfer_ms", whole_ms(fetched.elapsed)},
+             {"apply_ms", elapsed_ms(received)}});
+}
+
+auto control_client::confirm_document(instant at) -> void {
+  document_confirmed_at_ = at;
+  document_confirmed.emit();
+}
+
 /// Applies the newer configuration versions; false if they do not follow the
 /// current version.
 auto control_client::apply_config(const wire::renew_reply& reply) -> bool {
@@ -219,8 +263,10 @@
     if (!std::holds_alternative<configuration>(outcome)) return false;
     config_ = std::get<configuration>(std::move(outcome));
   }
-  if (config_.version != static_cast<std::uint64_t>(reply.version))
+  if (config_.version != static_cast<std::uint64_t>(reply.version)) {
+    config_fetcher_.fetch(reply.version);
     return false;
+  }
   const auto changed = !has_config_ || config_.version != before;
   has_config_ = true;
   if (!changed) return true;
@@ -229,6 +275,20 @@
   return true;
 }
 
+auto control_client::apply_fetched_config(const fetched_state& fetched)
+    -> void {
+  auto config = parse_configuration(fetched.state.text);
+  if (!config) return log_failure("config.unreadable", last_error());
+  config_ = std::move(*config);
+  has_config_ = true;
+  log_event(log_level::info, "config.in_force",
+            {{"version", config_.version},
+             {"frame_bytes", fetched.frame_bytes},
+             {"failed_calls", fetched.failed_calls},
+             {"transfer_ms", whole_ms(fetched.elapsed)}});
+  config_changed.emit();
+}
+
 auto control_client::call_leader(std::string path, std::string body,
                                  instant deadline, redirect_parser redirect,
                                  response_handler done) -> void {
--- a/src/control_client.hpp
+++ b/src/control_client.hpp
@@ -12,6 +12,7 @@
 
 #include "pollenloft/control.hpp"
 #include "pollenloft/net.hpp"
+#include "state_fetcher.hpp"
 
 namespace pollenloft {
 
@@ -58,6 +59,10 @@
   /// Time since the document was last confirmed as the latest; the maximum
   /// duration if it never was.
   auto document_age() const -> duration;
+  /// Whether the leader has announced a newer document, which is being fetched.
+  auto document_outdated() const -> bool {
+    return newest_document_ > document_.number;
+  }
   /// Adds control replicas to try, besides those named by the leader.
   auto add_replicas(const std::vector<socket_address>& replicas) -> void;
   auto term() const -> std::int64_t { return term_; }
@@ -96,6 +101,8 @@
   sigc::signal<void()> config_changed;
   sigc::signal<void()> leader_changed;
   sigc::signal<void()> document_changed;
+  /// Emitted each time the document is confirmed as the latest.
+  sigc::signal<void()> document_confirmed;
   /// Changed endpoint records; `true` if they are the full directory.
   sigc::signal<void(const std::vector<wire::endpoint_record>&, bool)>
       endpoints_changed;
@@ -110,6 +117,10 @@
   auto handle_failed_renewal(instant sent, const call_result& result) -> void;
   auto apply_config(const wire::renew_reply& reply) -> bool;
   auto apply_document(const wire::renew_reply& reply, instant sent) -> bool;
+  auto apply_fetched_document(fetched_state fetched) -> void;
+  auto apply_fetched_config(const fetched_state& fetched) -> void;
+  auto replace_document(fetched_state fetched) -> void;
+  auto confirm_document(instant at) -> void;
   auto add_reported_replicas(const wire::renew_reply& reply) -> void;
   auto select_leader(const std::string& leader) -> void;
   auto select_next_replica() -> void;
@@ -126,6 +137,10 @@
   configuration config_;
   numbered_document document_;
   std::optional<instant> document_confirmed_at_;
+  std::int64_t newest_document_ = 0;     // number last announced by a leader
+  instant newest_document_announced_{};  // when that renewal was sent
+  state_fetcher document_fetcher_;
+  state_fetcher config_fetcher_;
   bool has_config_ = false;
   bool first_renewal_ = true;
   bool draining_ = false;
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -15,6 +15,7 @@
 #include "pollenloft/net.hpp"
 #include "pollenloft/settings.hpp"
 #include "pollenloft/telemetry.hpp"
+#include "state_fetcher.hpp"
 
 namespace pollenloft {
 namespace {
@@ -36,6 +37,11 @@
 constexpr std::size_t max_reported_accounts = 16;
 constexpr std::size_t max_sent_crash_records = 100;
 constexpr std::uint64_t min_compaction_bytes = 4 * 1024 * 1024;
+/// Own configurations up to this size travel in the renewal, others in parts.
+constexpr std::size_t max_inline_config_bytes = 16 * 1024;
+/// Time that a replica waits for a requested version to be committed. Followers
+/// learn of a commit with the leader's next message.
+constexpr auto state_wait_timeout = milliseconds(150);
 /// A tick that starts later than this after the previous one is logged.
 constexpr auto max_tick_delay = milliseconds(100);
 
@@ -191,6 +197,11 @@
     wire::renew_request request;
     instant due;
   };
+  struct pending_state_request {
+    exchange_ptr call;
+    wire::state_request request;
+    instant due;
+  };
   struct pending_patch {
     exchange_ptr call;
     std::uint64_t version;
@@ -262,6 +273,7 @@
     }
     request_membership(now);
     reply_to_renewals(now);
+    reply_to_state_requests(now);
     reply_to_patches(now);
     flush_task_.schedule();
   }
@@ -354,6 +366,7 @@
       send_messages(effects.messages);
       if (effects.restore && !state_.load(effects.restore->data))
         return stop_on_disk_failure();
+      publish_document();
       for (const auto& entry : effects.committed)
         apply(entry);
     }
@@ -389,6 +402,7 @@
   auto apply(const log_entry& entry) -> void {
     command_reply reply;
     if (entry.kind == entry_kind::command) reply = state_.apply(entry.data);
+    publish_document();
     const auto found = pending_entries_.find(entry.index);
     if (found != pending_entries_.end()) {
       auto pending = std::move(found->second);
@@ -513,6 +527,7 @@
     if (post && path == "/peer/join") return handle_join(call);
     if (post && path == "/peer/directory") return handle_directory(call);
     if (post && path == "/control/renew") return handle_renewal(call);
+    if (post && path == state_transfer_path) return handle_state_request(call);
     if (post && path == "/control/report") return handle_report(call);
     if (post && path == "/control/claim") return handle_claim(call);
     if (post && path == "/control/settle") return handle_settle(call);
@@ -583,9 +598,58 @@
            request.directory_sequence != directory_.sequence();
   }
 
+  // --- transfer of state texts ---------------------------------------------
+
+  auto publish_document() -> void {
+    documents_.publish(state_.document().number, state_.document().text);
+  }
+
+  /// The text is only made when an entry VM asks for it.
+  auto publish_config() -> void {
+    const auto version = static_cast<std::int64_t>(state_.config().version);
+    if (version > configurations_.newest())
+      configurations_.publish(version, state_.config().text());
+  }
+
+  auto handle_state_request(const exchange_ptr& call) -> void {
+    const auto request = decode_body<wire::state_request>(call);
+    if (!request) return;
+    if (reply_with_part(call, *request)) return;
+    pending_state_requests_.push_back(
+        {call, *request, boottime_clock::now() + state_wait_timeout});
+  }
+
+  auto reply_with_part(const exchange_ptr& call,
+                       const wire::state_request& request) -> bool {
+    const auto is_document =
+        request.kind == static_cast<std::int8_t>(state_kind::document);
+    if (!is_document) publish_config();
+    auto part = (is_document ? documents_ : configurations_).part(request);
+    if (!part) return false;
+    state_bytes_ += part->bytes.size();
+    ++state_parts_;
+    wire_reply(call, *part);
+    return true;
+  }
+
+  /// Replies to waiting requests whose version is known now or that have
+  /// waited too long.
+  auto reply_to_state_requests(instant now) -> void {
+    for (auto& pending : std::exchange(pending_state_requests_, {})) {
+      if (reply_with_part(pending.call, pending.request)) continue;
+      if (now >= pending.due)
+        wire_reply(pending.call, wire::state_part{});
+      else
+        pending_state_requests_.push_back(std::move(pending));
+    }
+  }
+
+  // --- renewals --------------------------------------------------------------
+
   auto reply_to_pending() -> void {
     const auto now = boottime_clock::now();
     reply_to_renewals(now);
+    reply_to_state_requests(now);
     reply_to_patches(now);
   }
 
@@ -618,18 +682,12 @@
     reply.lease_ms =
         std::chrono::duration_cast<milliseconds>(leases_.lease()).count();
     reply.version = static_cast<std::int64_t>(state_.config().version);
-    const auto in_force = static_cast<std::uint64_t>(request.in_force);
-    if (auto patches = state_.patches_after(in_force))
-      reply.patches = std::move(*patches);
-    else
-      reply.configuration = state_.config().text();
+    add_config(reply, request);
     const auto& document = state_.document();
     reply.document = document.number;
-    if (request.document < document.number) reply.document_text = document.text;
-    reply.directory_full = request.term != reply.term;
-    reply.directory_sequence = directory_.sequence();
-    reply.endpoints = directory_.changes_after(
-        reply.directory_full ? 0 : request.directory_sequence);
+    if (!request.fetches_state && request.document < document.number)
+      reply.document_text = document.text;
+    add_directory_changes(reply, request);
     reply.vm_count = static_cast<std::int32_t>(leases_.live_count(now));
     reply.usage = leases_.heaviest_accounts(max_reported_accounts, now);
     renewal_state_bytes_ +=
@@ -637,10 +695,36 @@
     reply.blames = state_.crash_records();
     if (reply.blames.size() > max_sent_crash_records)
       reply.blames.resize(max_sent_crash_records);
-    if (!reply.document_text.empty()) ++document_replies_;
     wire_reply(call, reply);
   }
 
+  /// Adds the patches that the VM lacks, or the whole configuration if they are
+  /// no longer kept. Neither is added if it is large: the VM fetches it.
+  auto add_config(wire::renew_reply& reply,
+                  const wire::renew_request& request) const -> void {
+    const auto in_force = static_cast<std::uint64_t>(request.in_force);
+    if (auto patches = state_.patches_after(in_force)) {
+      std::size_t bytes = 0;
+      for (const auto& patch : *patches)
+        bytes += patch.body.size();
+      if (!request.fetches_state || bytes <= max_inline_config_bytes) {
+        reply.patches = std::move(*patches);
+        return;
+      }
+    }
+    auto text = state_.config().text();
+    if (!request.fetches_state || text.size() <= max_inline_config_bytes)
+      reply.configuration = std::move(text);
+  }
+
+  auto add_directory_changes(wire::renew_reply& reply,
+                             const wire::renew_request& request) const -> void {
+    reply.directory_full = request.term != reply.term;
+    reply.endpoints = directory_.changes_after(
+        reply.directory_full ? 0 : request.directory_sequence);
+    reply.directory_sequence = directory_.sequence();
+  }
+
   auto handle_report(const exchange_ptr& call) -> void {
     auto request = decode_body<wire::report_request>(call);
     if (!request) return;
@@ -814,8 +898,13 @@
                  static_cast<double>(state_.document().number));
     metrics_.set("pollenloft_renewal_state_bytes_total",
                  static_cast<double>(renewal_state_bytes_));
-    metrics_.set("pollenloft_document_replies_total",
-                 static_cast<double>(document_replies_));
+    metrics_.set("pollenloft_state_parts_total",
+                 static_cast<double>(state_parts_));
+    metrics_.set("pollenloft_state_part_bytes_total",
+                 static_cast<double>(state_bytes_));
+    metrics_.set("pollenloft_state_frames_encoded_total",
+                 static_cast<double>(documents_.encoded_frames() +
+                                     configurations_.encoded_frames()));
     for (const auto& [id, entries] : entries_sent_)
       metrics_.set("pollenloft_log_entries_sent_total",
                    static_cast<double>(entries),
@@ -868,7 +957,11 @@
   std::uint64_t renewals_ = 0;
   std::uint64_t control_bytes_ = 0;
   std::uint64_t renewal_state_bytes_ = 0;
-  std::uint64_t document_replies_ = 0;
+  state_catalog documents_;
+  state_catalog configurations_;
+  std::vector<pending_state_request> pending_state_requests_;
+  std::uint64_t state_parts_ = 0;
+  std::uint64_t state_bytes_ = 0;
   std::map<replica_id, std::uint64_t> entries_sent_;
   instant last_tick_{};
 };
--- a/support/pollenloft.thrift
+++ b/support/pollenloft.thrift
@@ -88,10 +88,13 @@
 // cost of its queued requests.
 struct account_usage { 1: string account, 2: double cost, 3: double waiting }
 
+// `document` is the newest one that the VM knows of. A VM with `fetches_state`
+// requests large texts in parts; to others the reply carries them whole.
 struct renew_request {
   1: string vm, 2: string incarnation, 3: i64 in_force, 4: i64 term,
   5: i64 directory_sequence, 6: list<account_usage> usage, 7: string zone,
-  8: string address, 9: bool draining, 10: bool first, 11: i64 document
+  8: string address, 9: bool draining, 10: bool first, 11: i64 document,
+  12: bool fetches_state
 }
 struct renew_reply {
   1: bool granted, 2: string leader, 3: i64 lease_ms, 4: i64 term,
@@ -102,6 +105,20 @@
   14: i64 document, 15: string document_text, 16: list<string> replicas
 }
 
+// A request for the part at `offset` of the frame with `digest` of a state text;
+// `base` and `base_digest` name the text that the VM holds.
+struct state_request {
+  1: i8 kind, 2: i64 version, 3: i64 base, 4: i64 base_digest, 5: i64 digest,
+  6: i64 offset
+}
+// `version` is 0 if the requested one is not known here. `total` is the size of
+// the frame in bytes; its text is relative to that of `base`, or whole if that
+// is 0.
+struct state_part {
+  1: i64 version, 2: i64 base, 3: i64 digest, 4: i64 text_digest,
+  5: i64 offset, 6: i64 total, 7: binary bytes
+}
+
 // Endpoints that registered at the reporting VM.
 struct report_request { 1: string vm, 2: list<endpoint_record> endpoints }
 struct report_reply { 1: bool accepted, 2: string leader }
