Limit the rate of bulk replies of control VMs

The leader's heartbeats left over the same link as the replies that carry state to all entry VMs.

Replies above 4 KiB leave in order within a budget of half of the link (--link-mbps); smaller ones leave at once. Replies whose caller has disconnected are dropped without using the budget, so that callers who ask again are not behind their own abandoned requests.

reply_pacer_test fails without the budget (all replies leave at once).

--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -15,6 +15,7 @@
 #include "pollenloft/net.hpp"
 #include "pollenloft/settings.hpp"
 #include "pollenloft/telemetry.hpp"
+#include "reply_pacer.hpp"
 #include "state_fetcher.hpp"
 
 namespace pollenloft {
@@ -42,6 +43,9 @@
 /// Time that a replica waits for a requested version to be committed. Followers
 /// learn of a commit with the leader's next message.
 constexpr auto state_wait_timeout = milliseconds(150);
+/// Share of the link that bulk transfers may use; replication and heartbeats
+/// need the rest.
+constexpr double bulk_link_share = 0.5;
 /// A tick that starts later than this after the previous one is logged.
 constexpr auto max_tick_delay = milliseconds(100);
 
@@ -60,6 +64,8 @@
      "--seeds the group grows to 2n + 1 replicas"},
     {"platform-listen", "", optional_address{},
      "address for the platform's operators and endpoints"},
+    {"link-mbps", "1000", number_range{1, 1000000},
+     "bandwidth of this VM's link; bulk transfers use up to half of it"},
     {"metrics-listen", "", optional_address{},
      "additional address that serves /metrics"},
     {"report-period-ms", "1200", number_range{50, 600000},
@@ -113,7 +119,8 @@
         replica_(make_options(values), disk_.take_persisted_state(),
                  boottime_clock::now()),
         directory_store_(disk_, directory_),
-        placer_(client_, directory_, values.millis("report-period-ms")) {
+        placer_(client_, directory_, values.millis("report-period-ms")),
+        pacer_(loop_, bulk_bytes_per_second(values)) {
     if (!values.text("platform-listen").empty())
       gateway_ = std::make_unique<control_gateway>(
           loop_, *this, values.address("platform-listen"),
@@ -213,6 +220,12 @@
     return id != 0 ? id : ipv4_number(values.address("listen").host);
   }
 
+  static auto bulk_bytes_per_second(const settings& values) -> double {
+    constexpr double bytes_per_megabit = 1e6 / 8;
+    return bulk_link_share * bytes_per_megabit *
+           static_cast<double>(values.number("link-mbps"));
+  }
+
   static auto make_options(const settings& values) -> replica_options {
     replica_options options;
     options.id = own_id(values);
@@ -628,7 +641,7 @@
     if (!part) return false;
     state_bytes_ += part->bytes.size();
     ++state_parts_;
-    wire_reply(call, *part);
+    send_paced(call, *part);
     return true;
   }
 
@@ -644,6 +657,13 @@
     }
   }
 
+  template <class Message>
+  auto send_paced(const exchange_ptr& call, const Message& message) -> void {
+    http_headers headers;
+    headers.add("Content-Type", "application/x-thrift");
+    pacer_.send(call, std::move(headers), encode_wire(message));
+  }
+
   // --- renewals --------------------------------------------------------------
 
   auto reply_to_pending() -> void {
@@ -695,7 +715,7 @@
     reply.blames = state_.crash_records();
     if (reply.blames.size() > max_sent_crash_records)
       reply.blames.resize(max_sent_crash_records);
-    wire_reply(call, reply);
+    send_paced(call, reply);
   }
 
   /// Adds the patches that the VM lacks, or the whole configuration if they are
@@ -905,6 +925,8 @@
     metrics_.set("pollenloft_state_frames_encoded_total",
                  static_cast<double>(documents_.encoded_frames() +
                                      configurations_.encoded_frames()));
+    metrics_.set("pollenloft_paced_replies_queued",
+                 static_cast<double>(pacer_.queued()));
     for (const auto& [id, entries] : entries_sent_)
       metrics_.set("pollenloft_log_entries_sent_total",
                    static_cast<double>(entries),
@@ -936,6 +958,7 @@
   endpoint_directory directory_;
   directory_store directory_store_;
   layer_placer placer_;
+  reply_pacer pacer_;
   std::unique_ptr<control_gateway> gateway_;
   instant join_requested_at_{};
   instant leader_since_{};
