Bound the endpoint records in one renewal

The whole endpoint directory went out in one reply to every entry VM after each change of leader, and every VM asked at once: 100 records to 87 VMs are 1.3 MB, 2,500 records to 380 VMs 100 MB and more, cut after 700 ms and started over. It is the same class as the documents: a reply whose size grows with the state under a fixed time-out.

A reply has at most 64 records, in the order of their changes, and the number of the last one; the VM asks for the next ones at once, so that a cut renewal costs 64 records. Entry VMs without fetches_state still get all of them.

control_test: directory_in_bounded_replies_misses_no_change (a new function; without the bound it fails on the size of the first reply).

--- a/include/pollenloft/control.hpp
+++ b/include/pollenloft/control.hpp
@@ -230,8 +230,10 @@
   /// Marks an endpoint of any incarnation as gone; false if it is unknown or
   /// already gone.
   auto mark_gone(const std::string& id) -> bool;
-  /// The records changed after the change number `sequence`, in that order.
-  auto changes_after(std::int64_t sequence) const
+  /// The first `max_count` records changed after the change number `sequence`,
+  /// in that order. The next ones follow the sequence of the last of them.
+  auto changes_after(std::int64_t sequence,
+                     std::size_t max_count = SIZE_MAX) const
       -> std::vector<wire::endpoint_record>;
   /// Number of the last change.
   auto sequence() const -> std::int64_t { return sequence_; }
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -582,11 +582,12 @@
   });
 }
 
-auto endpoint_directory::changes_after(std::int64_t sequence) const
+auto endpoint_directory::changes_after(std::int64_t sequence,
+                                       std::size_t max_count) const
     -> std::vector<wire::endpoint_record> {
   std::vector<wire::endpoint_record> changes;
-  for (auto it = by_sequence_.upper_bound(sequence); it != by_sequence_.end();
-       ++it)
+  for (auto it = by_sequence_.upper_bound(sequence);
+       it != by_sequence_.end() && changes.size() < max_count; ++it)
     changes.push_back(records_.at(it->second));
   return changes;
 }
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -40,6 +40,7 @@
 constexpr std::uint64_t min_compaction_bytes = 4 * 1024 * 1024;
 /// Own configurations up to this size travel in the renewal, others in parts.
 constexpr std::size_t max_inline_config_bytes = 16 * 1024;
+constexpr std::size_t max_records_per_renewal = 64;
 /// Time that a replica waits for a requested version to be committed. Followers
 /// learn of a commit with the leader's next message.
 constexpr auto state_wait_timeout = milliseconds(150);
@@ -737,12 +738,18 @@
       reply.configuration = std::move(text);
   }
 
+  /// Adds the next changed records of the directory. A VM that needs more of
+  /// them asks again at once.
   auto add_directory_changes(wire::renew_reply& reply,
                              const wire::renew_request& request) const -> void {
     reply.directory_full = request.term != reply.term;
+    const auto max_count =
+        request.fetches_state ? max_records_per_renewal : SIZE_MAX;
     reply.endpoints = directory_.changes_after(
-        reply.directory_full ? 0 : request.directory_sequence);
-    reply.directory_sequence = directory_.sequence();
+        reply.directory_full ? 0 : request.directory_sequence, max_count);
+    reply.directory_sequence = reply.endpoints.size() == max_count
+                                   ? reply.endpoints.back().sequence
+                                   : directory_.sequence();
   }
 
   auto handle_report(const exchange_ptr& call) -> void {
--- a/test/control_test.cpp
+++ b/test/control_test.cpp
@@ -114,6 +114,7 @@
   CPPUNIT_TEST(orphans_are_dropped_unless_reported_again);
   CPPUNIT_TEST(fuzz_versions);
   CPPUNIT_TEST(fuzz_claims);
+  CPPUNIT_TEST(directory_in_bounded_replies_misses_no_change);
   CPPUNIT_TEST(document_with_the_highest_number_wins);
   CPPUNIT_TEST(document_survives_a_snapshot);
   CPPUNIT_TEST_SUITE_END();
@@ -128,6 +129,28 @@
     return encode_wire(command);
   }
 
+  auto directory_in_bounded_replies_misses_no_change() -> void {
+    endpoint_directory directory;
+    for (int i = 0; i < 150; ++i)
+      directory.merge(
+          {endpoint("e" + std::to_string(i), "1", endpoint_state::up, "vm")});
+    std::map<std::string, wire::endpoint_record> received;
+    std::int64_t sequence = 0;
+    for (int reply = 0; sequence != directory.sequence(); ++reply) {
+      const auto changes = directory.changes_after(sequence, 64);
+      CPPUNIT_ASSERT(changes.size() <= 64);
+      for (const auto& record : changes)
+        received[record.id] = record;
+      sequence = changes.back().sequence;
+      // Changes of sent and of unsent records move them to the end.
+      if (reply == 0) {
+        directory.set_load("e1", 5, 100);
+        directory.set_load("e149", 6, 100);
+      }
+    }
+    CPPUNIT_ASSERT(received == directory.records());
+  }
+
   auto document_with_the_highest_number_wins() -> void {
     control_state state;
     state.apply(document_command(4, "four"));
