Compress documents in the replicated log

Each document goes to every control VM in a log entry. A text of 0.4 MB in each fills the link on which heartbeats travel. The gateway now submits the text as a frame of the delta library without a base, and control_state::apply unpacks it. A frame that cannot be decoded, or with more than the gateway's largest body (max_document_bytes), leaves the state unchanged.

--- a/include/pollenloft/control.hpp
+++ b/include/pollenloft/control.hpp
@@ -45,6 +45,9 @@
 using command_reply =
     std::variant<std::monostate, patch_reply, wire::claim_reply>;
 
+/// Largest text of a document.
+inline constexpr std::size_t max_document_bytes = 8 * 1024 * 1024;
+
 /// A configuration document that operators replace in full. The text is stored
 /// unchanged and decoded by its users.
 struct numbered_document {
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "pollenloft/delta.hpp"
+
 namespace pollenloft {
 
 namespace {
@@ -22,6 +24,11 @@
   return patch_accepted{static_cast<std::uint64_t>(result.version)};
 }
 
+auto take_text(wire::document_command& document) -> std::optional<std::string> {
+  if (document.packed.empty()) return std::move(document.text);
+  return decode_delta(document.packed, "", max_document_bytes);
+}
+
 }  // namespace
 
 auto control_state::apply(std::string_view bytes) -> command_reply {
@@ -222,9 +229,12 @@
   }
 }
 
-/// The highest number wins, whatever the order of the commands.
+/// The highest number wins, whatever the order of the commands. A frame that
+/// cannot be decoded is ignored, as by every other replica.
 auto control_state::apply_document(wire::document_command document) -> void {
   if (document.number <= document_.number) return;
+  auto text = take_text(document);
+  if (!text) return;
   wire::audit_record record;
   record.at_ms = document.at_ms;
   record.who = "operator";
@@ -234,7 +244,7 @@
   record.result = "accepted";
   audit_.push_back(std::move(record));
   if (audit_.size() > limits_.max_audit_records) audit_.pop_front();
-  document_ = {document.number, std::move(document.text)};
+  document_ = {document.number, std::move(*text)};
 }
 
 auto control_state::crash_points(std::uint64_t fingerprint) const -> int {
--- a/src/control_gateway.cpp
+++ b/src/control_gateway.cpp
@@ -1,12 +1,13 @@
 #include "control_gateway.hpp"
 
+#include "pollenloft/delta.hpp"
 #include "pollenloft/telemetry.hpp"
 
 namespace pollenloft {
 
 namespace {
 
-constexpr http_limits gateway_limits{64 * 1024, 128, 8 * 1024 * 1024,
+constexpr http_limits gateway_limits{64 * 1024, 128, max_document_bytes,
                                      std::chrono::seconds(60)};
 /// An endpoint's reports are overdue after this many report periods. This
 /// tolerates one lost report and one late report.
@@ -88,7 +89,7 @@
   if (!host_.is_active_leader()) return redirect_to_leader(call);
   wire::document_command command;
   command.number = std::get<ingress_config>(decoded).number;
-  command.text = text;
+  command.packed = encode_delta(text, "");
   command.at_ms = wall_clock().count();
   const auto number = command.number;
   host_.submit_document(
--- a/support/pollenloft.thrift
+++ b/support/pollenloft.thrift
@@ -43,7 +43,11 @@
 }
 
 // Replaces the routing document if `number` is higher than the current one.
-struct document_command { 1: i64 number, 2: string text, 3: i64 at_ms }
+// `packed` holds the text as a frame of the delta library without a base; `text`
+// is empty then. Older logs contain `text` only.
+struct document_command {
+  1: i64 number, 2: string text, 3: i64 at_ms, 4: binary packed
+}
 
 union command {
   1: patch_command patch, 2: claim_record claim, 3: settle_command settle,
--- a/test/control_gateway_test.cpp
+++ b/test/control_gateway_test.cpp
@@ -25,6 +25,7 @@
     wire::command command;
     command.__isset.document = true;
     command.document = std::move(document);
+    last_submitted = command.document;
     if (commits) state_.apply(encode_wire(command));
     done(commits);
   }
@@ -41,6 +42,7 @@
   bool leader_connected = true;
   bool commits = true;
   std::string leader;
+  wire::document_command last_submitted;
   std::vector<wire::directory_share> broadcasts;
   std::map<std::uint32_t, wire::directory_share> sent;
   int changes = 0;
@@ -77,6 +79,8 @@
 class control_gateway_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(control_gateway_test);
   CPPUNIT_TEST(document_is_acknowledged_and_read_back_as_sent);
+  CPPUNIT_TEST(document_enters_the_log_compressed);
+  CPPUNIT_TEST(largest_document_is_acknowledged_and_applied);
   CPPUNIT_TEST(equal_or_lower_number_changes_nothing);
   CPPUNIT_TEST(invalid_document_is_refused_whatever_its_number);
   CPPUNIT_TEST(uncommitted_document_is_not_acknowledged);
@@ -142,6 +146,22 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{3}, gateway_->config()->number);
   }
 
+  auto document_enters_the_log_compressed() -> void {
+    const auto text = document(3) + std::string(400'000, ' ');
+    CPPUNIT_ASSERT_EQUAL(200, send("PUT", "/config", text));
+    CPPUNIT_ASSERT(host_->last_submitted.text.empty());
+    CPPUNIT_ASSERT(host_->last_submitted.packed.size() < 1024);
+    CPPUNIT_ASSERT(host_->state().document().text == text);
+  }
+
+  auto largest_document_is_acknowledged_and_applied() -> void {
+    auto text = document(3);
+    text.resize(max_document_bytes, ' ');
+    CPPUNIT_ASSERT_EQUAL(200, send("PUT", "/config", text));
+    CPPUNIT_ASSERT(host_->state().document().text == text);
+    CPPUNIT_ASSERT(send("PUT", "/config", text + " ") != 200);
+  }
+
   auto equal_or_lower_number_changes_nothing() -> void {
     send("PUT", "/config", document(3));
     CPPUNIT_ASSERT_EQUAL(200, send("PUT", "/config", document(3, 2000)));
--- a/test/control_test.cpp
+++ b/test/control_test.cpp
@@ -2,6 +2,7 @@
 
 #include <set>
 
+#include "pollenloft/delta.hpp"
 #include "property.hpp"
 
 namespace pollenloft::test {
@@ -116,6 +117,10 @@
   CPPUNIT_TEST(fuzz_claims);
   CPPUNIT_TEST(document_with_the_highest_number_wins);
   CPPUNIT_TEST(document_survives_a_snapshot);
+  CPPUNIT_TEST(packed_document_counts_like_a_plain_one);
+  CPPUNIT_TEST(damaged_packed_document_changes_nothing);
+  CPPUNIT_TEST(packed_document_beyond_the_limit_changes_nothing);
+  CPPUNIT_TEST(replay_of_plain_and_packed_documents_gives_equal_states);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -128,6 +133,20 @@
     return encode_wire(command);
   }
 
+  static auto frame_command(std::int64_t number, const std::string& frame)
+      -> std::string {
+    wire::command command;
+    command.__isset.document = true;
+    command.document.number = number;
+    command.document.packed = frame;
+    return encode_wire(command);
+  }
+
+  static auto packed_command(std::int64_t number, const std::string& text)
+      -> std::string {
+    return frame_command(number, encode_delta(text, ""));
+  }
+
   auto document_with_the_highest_number_wins() -> void {
     control_state state;
     state.apply(document_command(4, "four"));
@@ -148,6 +167,68 @@
     CPPUNIT_ASSERT_EQUAL(std::string("four"), copy.document().text);
   }
 
+  auto packed_document_counts_like_a_plain_one() -> void {
+    const auto text = std::string(400'000, 'r');
+    control_state plain;
+    plain.apply(document_command(4, text));
+    control_state packed;
+    packed.apply(packed_command(4, text));
+    packed.apply(packed_command(4, "other"));
+    packed.apply(packed_command(3, "three"));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{4}, packed.document().number);
+    CPPUNIT_ASSERT(packed.document().text == text);
+    CPPUNIT_ASSERT(packed.save() == plain.save());
+    packed.apply(packed_command(5, ""));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{5}, packed.document().number);
+    CPPUNIT_ASSERT_EQUAL(std::string(), packed.document().text);
+  }
+
+  auto damaged_packed_document_changes_nothing() -> void {
+    control_state state;
+    state.apply(packed_command(4, "four"));
+    const auto before = state.save();
+    const auto frame = encode_delta("a text of the fifth document", "");
+    for (std::size_t size = 1; size < frame.size(); ++size)
+      state.apply(frame_command(5, frame.substr(0, size)));
+    auto flipped = frame;
+    flipped.back() = static_cast<char>(flipped.back() ^ 1);
+    state.apply(frame_command(5, flipped));
+    state.apply(frame_command(5, frame + frame));
+    const std::string base = "a text of the fourth document";
+    state.apply(frame_command(5, encode_delta(base + " changed", base)));
+    CPPUNIT_ASSERT(state.save() == before);
+    state.apply(frame_command(5, frame));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{5}, state.document().number);
+  }
+
+  auto packed_document_beyond_the_limit_changes_nothing() -> void {
+    control_state state;
+    const auto largest = std::string(max_document_bytes, 'r');
+    state.apply(packed_command(1, largest));
+    CPPUNIT_ASSERT(state.document().text == largest);
+    state.apply(packed_command(2, largest + "r"));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, state.document().number);
+  }
+
+  auto replay_of_plain_and_packed_documents_gives_equal_states() -> void {
+    control_state all;
+    control_state restarted;
+    for (const auto& command :
+         {document_command(4, "four"), packed_command(7, "seven"),
+          document_command(6, "six"), packed_command(5, "five"),
+          document_command(9, "nine"), packed_command(11, "eleven")}) {
+      all.apply(command);
+      control_state loaded;
+      CPPUNIT_ASSERT(loaded.load(restarted.save()));
+      loaded.apply(command);
+      restarted = loaded;
+      CPPUNIT_ASSERT(restarted.save() == all.save());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{11}, all.document().number);
+    CPPUNIT_ASSERT_EQUAL(std::string("eleven"), all.document().text);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, all.audit().size());
+  }
+
   auto one_of_two_patches_on_a_base_is_accepted() -> void {
     control_state state;
     CPPUNIT_ASSERT(accepted(state, patch(0, "x", account("x"))));
