Deny a route or a key only by a document known to be current

Entry VMs that lacked a newer document answered 404 "There is no route" from the old one, for seconds, even after their readiness check had failed. A caller does not come back after 404 or 401, while 503 with Retry-After is true and lets it.

Otherwise the request is deferred as on a VM without a document, and decided again when the document changes or is confirmed while current (control_client::document_confirmed). After 0.9 s, or 20 ms before the caller's own deadline, it ends with 503.

Deferred requests also leave the queue when their caller disconnects, and end with 503 when the drain notice has passed: the process could stop 20 ms later and drop them. Positive decisions do not change.

--- a/src/control_client.cpp
+++ b/src/control_client.cpp
@@ -178,6 +178,7 @@
 
 auto control_client::apply_document(const wire::renew_reply& reply,
                                     instant sent) -> bool {
+  newest_document_ = std::max(newest_document_, reply.document);
   if (reply.document < document_.number) {
     log_event(log_level::error, "document.older",
               {{"local_number", document_.number},
@@ -200,6 +201,7 @@
                {"transfer_ms", elapsed_ms(sent) - elapsed_ms(received)},
                {"apply_ms", elapsed_ms(received)}});
   }
+  document_confirmed.emit();
   return true;
 }
 
--- a/src/control_client.hpp
+++ b/src/control_client.hpp
@@ -58,6 +58,10 @@
   /// Time since the document was last confirmed as the latest; the maximum
   /// duration if it never was.
   auto document_age() const -> duration;
+  /// True if the leader has named a newer document that has not arrived yet.
+  auto document_outdated() const -> bool {
+    return newest_document_ > document_.number;
+  }
   /// Adds control replicas to try, besides those named by the leader.
   auto add_replicas(const std::vector<socket_address>& replicas) -> void;
   auto term() const -> std::int64_t { return term_; }
@@ -96,6 +100,8 @@
   sigc::signal<void()> config_changed;
   sigc::signal<void()> leader_changed;
   sigc::signal<void()> document_changed;
+  /// Emitted each time the leader confirms the document as the latest.
+  sigc::signal<void()> document_confirmed;
   /// Changed endpoint records; `true` if they are the full directory.
   sigc::signal<void(const std::vector<wire::endpoint_record>&, bool)>
       endpoints_changed;
@@ -125,6 +131,7 @@
   std::size_t target_ = 0;
   configuration config_;
   numbered_document document_;
+  std::int64_t newest_document_ = 0;  // named by the leader
   std::optional<instant> document_confirmed_at_;
   bool has_config_ = false;
   bool first_renewal_ = true;
--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -16,7 +16,9 @@
 /// After all processes were killed a leader is elected within 0.5 s. Callers
 /// abandon a request that is not read for 1 s.
 constexpr auto max_defer_time = milliseconds(900);
-constexpr std::size_t max_deferred = 500;
+/// Answers that deny a route or a key need a confirmation of the document
+/// within 1/2 of the time in which it must be in force.
+constexpr int negative_age_divisor = 2;
 /// Largest share of its latency objective that a request waits for a free slot.
 /// After that, a caller that retries later is served better.
 constexpr double max_wait_share = 0.5;
@@ -60,8 +62,10 @@
       router_(options_.routing, options_.seed),
       random_(options_.seed),
       queues_(options_.max_queued, options_.seed),
-      dispatch_task_(loop_, [this] { dispatch_queued(); }) {
+      dispatch_task_(loop_, [this] { dispatch_queued(); }),
+      resume_task_(loop_, [this] { resume_deferred(); }) {
   control_.document_changed.connect([this] { apply_document(); });
+  control_.document_confirmed.connect([this] { handle_confirmation(); });
   // Even a complete directory only adds endpoints: a new leader may not know
   // all of them yet. Endpoints that it does not list stay until they leave or
   // fail.
@@ -90,24 +94,21 @@
 
 auto front_server::drain() -> void {
   draining_ = true;
-  drain_timer_ =
-      loop_.after(options_.drain_notice, [this] { refusing_new_ = true; });
+  drain_timer_ = loop_.after(options_.drain_notice, [this] {
+    refusing_new_ = true;
+    resume_deferred();
+  });
 }
 
 auto front_server::refuse(const exchange_ptr& call, int status,
                           const std::string& reason) -> void {
   const auto id =
       platform::decode_caller_headers(call->request().headers).request_id;
-  const auto document_age_ms =
-      route_table_
-          ? std::chrono::duration_cast<milliseconds>(control_.document_age())
-                .count()
-          : -1;
   log_event(log_level::info, "request.refused",
             {{"id", id},
              {"status", status},
              {"document", route_table_ ? route_table_->config().number : 0},
-             {"document_age_ms", document_age_ms},
+             {"document_age_ms", document_age_ms()},
              {"reason", reason}});
   metrics_.add("pollenloft_refused_total",
                "status=\"" + std::to_string(status) + "\"");
@@ -117,12 +118,50 @@
   call->reply(status, headers, reason + "\n");
 }
 
-/// A VM that has just started receives the configuration soon, and a caller
-/// that is refused in between may have no retry left.
-auto front_server::defer(const exchange_ptr& call, instant arrived) -> void {
-  if (deferred_.size() >= max_deferred)
-    return refuse(call, 503, "This VM knows no configuration yet.");
-  deferred_.push_back({call, arrived});
+auto front_server::document_age_ms() const -> std::int64_t {
+  if (!route_table_) return -1;
+  return std::chrono::duration_cast<milliseconds>(control_.document_age())
+      .count();
+}
+
+auto front_server::document_current() const -> bool {
+  const auto max_negative_age =
+      options_.document_apply_time / negative_age_divisor;
+  return route_table_ && !control_.document_outdated() &&
+         control_.document_age() <= max_negative_age;
+}
+
+/// A VM that has just started or lags behind receives the newest configuration
+/// soon, and a caller that is refused in between may have no retry left.
+auto front_server::defer(const exchange_ptr& call, instant arrived,
+                         const std::string& reason) -> void {
+  const auto headers = platform::decode_caller_headers(call->request().headers);
+  const auto timeout = headers.deadline.value_or(default_timeout);
+  // Due requests are refused at the next tick.
+  const auto due = arrived + std::min(max_defer_time,
+                                      std::max(timeout, milliseconds::zero()) -
+                                          tick_interval);
+  if (deferred_.size() >= options_.max_deferred || due <= boottime_clock::now())
+    return refuse(call, 503, reason);
+  log_event(log_level::debug, "request.deferred",
+            {{"id", headers.request_id},
+             {"document", route_table_ ? route_table_->config().number : 0},
+             {"document_age_ms", document_age_ms()},
+             {"reason", reason}});
+  deferred_.push_back({call, arrived, due, reason});
+}
+
+/// Callers that get 404 or 401 do not come back, so a VM gives these answers
+/// only if its document is the newest.
+auto front_server::refuse_as_unknown(const exchange_ptr& call, instant arrived,
+                                     int status, const std::string& reason)
+    -> void {
+  if (document_current()) return refuse(call, status, reason);
+  defer(call, arrived, "This VM may not know the newest configuration.");
+}
+
+auto front_server::handle_confirmation() -> void {
+  if (!deferred_.empty() && document_current()) resume_task_.schedule();
 }
 
 auto front_server::resume_deferred() -> void {
@@ -131,33 +170,37 @@
 }
 
 auto front_server::refuse_expired_deferred(instant now) -> void {
-  while (!deferred_.empty() &&
-         now - deferred_.front().arrived > max_defer_time) {
-    const auto deferred = std::move(deferred_.front());
-    deferred_.pop_front();
-    if (deferred.call->open())
-      refuse(deferred.call, 503, "This VM knows no configuration yet.");
+  if (deferred_.empty()) return;
+  for (auto& deferred : std::exchange(deferred_, {})) {
+    if (!deferred.call->open()) continue;
+    if (now >= deferred.due)
+      refuse(deferred.call, 503, deferred.reason);
+    else
+      deferred_.push_back(std::move(deferred));
   }
 }
 
 auto front_server::handle_request(const exchange_ptr& call, instant arrived)
     -> void {
   if (refusing_new_) return refuse(call, 503, "This VM is shutting down.");
-  if (!route_table_) return defer(call, arrived);
+  if (!route_table_)
+    return defer(call, arrived, "This VM knows no configuration yet.");
   const auto& request = call->request();
   front_parameters params;
   params.table = route_table_;
   params.headers = platform::decode_caller_headers(request.headers);
   params.route =
       route_table_->find(params.headers.host, path_of(request.target));
-  if (params.route == nullptr) return refuse(call, 404, "There is no route.");
+  if (params.route == nullptr)
+    return refuse_as_unknown(call, arrived, 404, "There is no route.");
   const auto& config = route_table_->config();
   params.priority = params.route->priority;
   if (config.has_accounts && !params.route->is_public) {
     if (!control_.document_fresh())
       return refuse(call, 503, "This VM may not know the newest keys.");
     const auto* account = route_table_->account_of(params.headers.api_key);
-    if (account == nullptr) return refuse(call, 401, "The key is not known.");
+    if (account == nullptr)
+      return refuse_as_unknown(call, arrived, 401, "The key is not known.");
     params.account = account->name;
     params.priority = account->priority.value_or(params.priority);
   }
@@ -208,7 +251,7 @@
   dispatch_task_.schedule();
   // The same message carries the endpoints, which are applied after the
   // document. Deferred requests resume after both.
-  loop_.post([this] { resume_deferred(); });
+  resume_task_.schedule();
 }
 
 auto front_server::apply_endpoints(
--- a/src/front_server.hpp
+++ b/src/front_server.hpp
@@ -23,6 +23,9 @@
   double retry_ratio = 0.2;  ///< retries for each request
   double retry_slack = 50;   ///< additional retries, over all entry VMs
   std::size_t max_queued = 500;
+  std::size_t max_deferred = 500;
+  /// Time within which an accepted document must be in force on every entry VM.
+  milliseconds document_apply_time{2000};
   /// Time between reporting not ready and refusing new requests.
   milliseconds drain_notice{1000};
 };
@@ -56,9 +59,18 @@
 
  private:
   auto handle_request(const exchange_ptr& call, instant arrived) -> void;
-  /// Defers a request until the configuration is known.
-  auto defer(const exchange_ptr& call, instant arrived) -> void;
+  /// Defers a request until the document changes or is confirmed. It is refused
+  /// with `reason` if that takes too long.
+  auto defer(const exchange_ptr& call, instant arrived,
+             const std::string& reason) -> void;
   auto resume_deferred() -> void;
+  auto handle_confirmation() -> void;
+  /// Whether the document is known to be the newest.
+  auto document_current() const -> bool;
+  /// Age of the document in milliseconds for the log; -1 if there is none.
+  auto document_age_ms() const -> std::int64_t;
+  auto refuse_as_unknown(const exchange_ptr& call, instant arrived, int status,
+                         const std::string& reason) -> void;
   auto refuse_expired_deferred(instant now) -> void;
   auto handle_readiness(const exchange_ptr& call) -> void;
   auto ready() const -> bool;
@@ -83,6 +95,8 @@
   struct deferred_call {
     exchange_ptr call;
     instant arrived;
+    instant due;
+    std::string reason;
   };
 
   event_loop& loop_;
@@ -100,6 +114,7 @@
   std::map<std::string, wire::endpoint_record> directory_;
   service_queues queues_;
   posted_task dispatch_task_;
+  posted_task resume_task_;
   std::unordered_map<request_id, front_request_ptr> requests_;
   std::deque<deferred_call> deferred_;  // oldest first
   request_id next_request_ = 0;
--- a/test/front_server_test.cpp
+++ b/test/front_server_test.cpp
@@ -13,18 +13,51 @@
 const socket_address readiness_address{"127.0.9.10", 18092};
 const socket_address control_address{"127.0.9.11", 18093};
 const socket_address endpoint_address{"127.0.9.12", 18094};
+constexpr auto max_negative_age = milliseconds(200);
 
-/// A leader that sends one document and one endpoint once `leads` is set.
+auto make_document(std::int64_t number, const std::string& key) -> std::string {
+  json document{
+      {"Version", number},
+      {"Services", {{{"Name", "app"}}}},
+      {"Tenants", {{{"Name", "a"}, {"ApiKeys", json::array({key})}}}}};
+  const auto add_route = [&](const std::string& path, bool is_public) {
+    document["Routes"].push_back({{"Name", path},
+                                  {"Hostname", "h"},
+                                  {"PathPrefix", path},
+                                  {"Type", "idempotent"},
+                                  {"TimeoutMs", 2000},
+                                  {"Public", is_public},
+                                  {"Backend", "app"}});
+  };
+  add_route("/x/", true);
+  add_route("/closed/", false);
+  if (number > 1) add_route("/new/", true);
+  return document.dump();
+}
+
+/// A leader that confirms its document every 10 ms and sends one endpoint.
+/// Document 2 adds the route /new/ and replaces the key "old" by "new".
 class fake_leader {
  public:
   explicit fake_leader(event_loop& loop)
       : loop_(loop), server_(loop, http_limits{}, [this](const auto& call) {
+          if (silent_) return held_.push_back(call);
           reply_to(call);
         }) {
     CPPUNIT_ASSERT(server_.listen(control_address));
   }
 
+  /// Holds all renewals until `resume`.
+  auto pause() -> void { silent_ = true; }
+  auto resume() -> void {
+    silent_ = false;
+    for (const auto& call : std::exchange(held_, {}))
+      if (call->open()) reply_to(call);
+  }
+
   bool leads = false;
+  std::int64_t document = 1;
+  bool withholds_text = false;  // names its document without sending it
 
  private:
   auto reply_to(const exchange_ptr& call) -> void {
@@ -35,8 +68,10 @@
     reply.lease_ms = 1000;
     reply.term = 1;
     reply.vm_count = 1;
-    reply.document = 1;
-    reply.document_text = document();
+    reply.document = document;
+    if (!withholds_text)
+      reply.document_text =
+          make_document(document, document > 1 ? "new" : "old");
     if (!endpoint_sent_) reply.endpoints = {endpoint()};
     reply.directory_sequence = 1;
     endpoint_sent_ = true;
@@ -45,19 +80,6 @@
     });
   }
 
-  static auto document() -> std::string {
-    return json{{"Version", 1},
-                {"Routes",
-                 {{{"Name", "r"},
-                   {"Hostname", "h"},
-                   {"PathPrefix", "/"},
-                   {"Type", "idempotent"},
-                   {"TimeoutMs", 2000},
-                   {"Backend", "app"}}}},
-                {"Services", {{{"Name", "app"}}}}}
-        .dump();
-  }
-
   static auto endpoint() -> wire::endpoint_record {
     wire::endpoint_record record;
     record.id = "e";
@@ -73,15 +95,43 @@
   event_loop& loop_;
   http_server server_;
   timer reply_timer_;
+  std::vector<exchange_ptr> held_;
+  bool silent_ = false;
   bool endpoint_sent_ = false;
 };
 
+struct answer {
+  int status = 0;
+  http_headers headers{};
+  duration elapsed{};
+};
+
+auto make_call(const std::string& target) -> http_call {
+  http_call call{front_address, "GET", target};
+  call.headers.add("Host", "h").add("Request-Id", "q");
+  call.timeout = milliseconds(3000);
+  return call;
+}
+
 }  // namespace
 
 class front_server_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(front_server_test);
   CPPUNIT_TEST(request_is_deferred_until_the_configuration_arrives);
   CPPUNIT_TEST(request_is_refused_without_a_configuration);
+  CPPUNIT_TEST(unknown_route_waits_although_the_document_is_current);
+  CPPUNIT_TEST(unknown_key_waits_although_the_document_is_current);
+  CPPUNIT_TEST(known_route_waits_for_a_confirmation);
+  CPPUNIT_TEST(route_of_a_newer_document_is_answered_404);
+  CPPUNIT_TEST(key_of_a_newer_document_is_answered_401);
+  CPPUNIT_TEST(confirmed_absence_is_not_answered_404);
+  CPPUNIT_TEST(route_is_answered_404_while_a_newer_document_is_known);
+  CPPUNIT_TEST(unknown_route_is_answered_404_without_a_leader);
+  CPPUNIT_TEST(unknown_key_is_answered_401_without_a_leader);
+  CPPUNIT_TEST(more_requests_are_deferred_than_allowed);
+  CPPUNIT_TEST(deferred_request_outlives_its_deadline);
+  CPPUNIT_TEST(disconnected_caller_keeps_its_place);
+  CPPUNIT_TEST(deferred_request_is_lost_at_shutdown);
   CPPUNIT_TEST_SUITE_END();
 
   event_loop loop_;
@@ -107,6 +157,9 @@
     front_options front;
     front.listen = front_address;
     front.readiness = readiness_address;
+    front.document_apply_time = 2 * max_negative_age;
+    front.drain_notice = milliseconds(100);
+    front.max_deferred = 2;
     front_ = std::make_unique<front_server>(loop_, front, *client_, *control_,
                                             *chart_, metrics_);
     endpoint_ = std::make_unique<http_server>(
@@ -125,20 +178,59 @@
     leader_.reset();
   }
 
-  /// Sends one request; returns its status and duration.
-  auto send_request() -> std::pair<int, duration> {
+  /// Sends one request and waits for its answer.
+  auto send(const http_call& call) -> answer {
     http_client caller(loop_);
-    http_call call{front_address, "GET", "/x"};
-    call.headers.add("Host", "h").add("Request-Id", "q");
-    call.timeout = milliseconds(3000);
-    int status = 0;
+    answer result;
     const auto sent = boottime_clock::now();
-    const auto pending =
-        caller.send(call, {[&](int code, const auto&) { status = code; },
-                           {},
-                           [this](const auto&, auto) { loop_.stop(); }});
+    caller.send(call, {[&](int code, const auto& headers) {
+                         result.status = code;
+                         result.headers = headers;
+                       },
+                       {},
+                       [this](const auto&, auto) { loop_.stop(); }});
     loop_.run();
-    return {status, boottime_clock::now() - sent};
+    result.elapsed = boottime_clock::now() - sent;
+    return result;
+  }
+  auto send(const std::string& target) -> answer {
+    return send(make_call(target));
+  }
+  auto send_with_key(const std::string& key) -> answer {
+    auto call = make_call("/closed/1");
+    call.headers.add("Api-Key", key);
+    return send(call);
+  }
+
+  auto wait(duration time) -> void {
+    const auto end = loop_.after(time, [this] { loop_.stop(); });
+    loop_.run();
+  }
+  auto receive_document() -> void {
+    leader_->leads = true;
+    wait(milliseconds(150));
+  }
+  auto lose_leader() -> void {
+    leader_->pause();
+    wait(max_negative_age + milliseconds(50));
+  }
+  auto receive_document_and_lose_leader() -> void {
+    receive_document();
+    lose_leader();
+  }
+  /// Returns after `time` to a leader that has document `number`.
+  [[nodiscard]] auto recover_leader(duration time, std::int64_t number)
+      -> timer {
+    return loop_.after(time, [this, number] {
+      leader_->document = number;
+      leader_->resume();
+    });
+  }
+  static auto check_refused_to_come_back(const answer& result) -> void {
+    CPPUNIT_ASSERT_EQUAL(503, result.status);
+    CPPUNIT_ASSERT(result.headers.find("Retry-After"));
+    CPPUNIT_ASSERT(result.elapsed > milliseconds(600));
+    CPPUNIT_ASSERT(result.elapsed < milliseconds(1500));
   }
 
   /// After all processes are killed at once, a restarted VM receives requests
@@ -146,15 +238,135 @@
   auto request_is_deferred_until_the_configuration_arrives() -> void {
     const auto election =
         loop_.after(milliseconds(300), [this] { leader_->leads = true; });
-    const auto [status, elapsed] = send_request();
-    CPPUNIT_ASSERT_EQUAL(200, status);
-    CPPUNIT_ASSERT(elapsed < milliseconds(900));
+    const auto result = send("/x/1");
+    CPPUNIT_ASSERT_EQUAL(200, result.status);
+    CPPUNIT_ASSERT(result.elapsed < milliseconds(900));
   }
 
   auto request_is_refused_without_a_configuration() -> void {
-    const auto [status, elapsed] = send_request();
-    CPPUNIT_ASSERT_EQUAL(503, status);
-    CPPUNIT_ASSERT(elapsed < milliseconds(1500));
+    const auto result = send("/x/1");
+    CPPUNIT_ASSERT_EQUAL(503, result.status);
+    CPPUNIT_ASSERT(result.elapsed < milliseconds(1500));
+  }
+
+  auto unknown_route_waits_although_the_document_is_current() -> void {
+    receive_document();
+    leader_->pause();
+    const auto result = send("/absent");
+    CPPUNIT_ASSERT_EQUAL(404, result.status);
+    CPPUNIT_ASSERT(result.elapsed < milliseconds(200));
+  }
+
+  auto unknown_key_waits_although_the_document_is_current() -> void {
+    receive_document();
+    leader_->pause();
+    const auto result = send_with_key("absent");
+    CPPUNIT_ASSERT_EQUAL(401, result.status);
+    CPPUNIT_ASSERT(result.elapsed < milliseconds(200));
+  }
+
+  auto known_route_waits_for_a_confirmation() -> void {
+    receive_document_and_lose_leader();
+    for (const auto& result : {send("/x/1"), send_with_key("old")}) {
+      CPPUNIT_ASSERT_EQUAL(200, result.status);
+      CPPUNIT_ASSERT(result.elapsed < milliseconds(200));
+    }
+  }
+
+  auto route_of_a_newer_document_is_answered_404() -> void {
+    receive_document_and_lose_leader();
+    const auto recovery = recover_leader(milliseconds(300), 2);
+    const auto result = send("/new/1");
+    CPPUNIT_ASSERT_EQUAL(200, result.status);
+    CPPUNIT_ASSERT(result.elapsed < milliseconds(600));
+  }
+
+  auto key_of_a_newer_document_is_answered_401() -> void {
+    receive_document_and_lose_leader();
+    const auto recovery = recover_leader(milliseconds(300), 2);
+    const auto result = send_with_key("new");
+    CPPUNIT_ASSERT_EQUAL(200, result.status);
+    CPPUNIT_ASSERT(result.elapsed < milliseconds(600));
+  }
+
+  auto confirmed_absence_is_not_answered_404() -> void {
+    receive_document_and_lose_leader();
+    const auto recovery = recover_leader(milliseconds(300), 1);
+    const auto result = send("/new/1");
+    CPPUNIT_ASSERT_EQUAL(404, result.status);
+    CPPUNIT_ASSERT(result.elapsed > milliseconds(250));
+    CPPUNIT_ASSERT(result.elapsed < milliseconds(600));
+  }
+
+  auto route_is_answered_404_while_a_newer_document_is_known() -> void {
+    receive_document();
+    leader_->document = 2;
+    leader_->withholds_text = true;
+    wait(milliseconds(40));
+    CPPUNIT_ASSERT(control_->document_age() < max_negative_age);
+    const auto arrival = loop_.after(
+        milliseconds(100), [this] { leader_->withholds_text = false; });
+    CPPUNIT_ASSERT_EQUAL(200, send("/new/1").status);
+  }
+
+  auto unknown_route_is_answered_404_without_a_leader() -> void {
+    receive_document_and_lose_leader();
+    check_refused_to_come_back(send("/absent"));
+  }
+
+  auto unknown_key_is_answered_401_without_a_leader() -> void {
+    receive_document_and_lose_leader();
+    check_refused_to_come_back(send_with_key("absent"));
+  }
+
+  auto more_requests_are_deferred_than_allowed() -> void {
+    receive_document_and_lose_leader();
+    http_client others(loop_);
+    std::vector<int> statuses;
+    for (int i = 0; i < 2; ++i)
+      others.send(
+          make_call("/absent"),
+          {[&](int code, const auto&) { statuses.push_back(code); }, {}, {}});
+    wait(milliseconds(50));
+    const auto result = send("/absent");
+    CPPUNIT_ASSERT_EQUAL(503, result.status);
+    CPPUNIT_ASSERT(result.headers.find("Retry-After"));
+    CPPUNIT_ASSERT(result.elapsed < milliseconds(200));
+    CPPUNIT_ASSERT(statuses.empty());
+    wait(milliseconds(1200));
+    CPPUNIT_ASSERT(statuses == (std::vector<int>{503, 503}));
+  }
+
+  auto deferred_request_outlives_its_deadline() -> void {
+    receive_document_and_lose_leader();
+    auto call = make_call("/absent");
+    call.headers.add("Deadline-Ms", "300");
+    const auto result = send(call);
+    CPPUNIT_ASSERT_EQUAL(503, result.status);
+    CPPUNIT_ASSERT(result.elapsed > milliseconds(200));
+    CPPUNIT_ASSERT(result.elapsed < milliseconds(400));
+  }
+
+  auto disconnected_caller_keeps_its_place() -> void {
+    receive_document_and_lose_leader();
+    http_client others(loop_);
+    std::vector<pending_call_ptr> calls;
+    for (int i = 0; i < 2; ++i)
+      calls.push_back(others.send(make_call("/absent"), {}));
+    wait(milliseconds(50));
+    for (const auto& call : calls)
+      call->cancel();
+    wait(milliseconds(50));
+    check_refused_to_come_back(send("/absent"));
+  }
+
+  auto deferred_request_is_lost_at_shutdown() -> void {
+    receive_document_and_lose_leader();
+    front_->drain();
+    const auto result = send("/absent");
+    CPPUNIT_ASSERT_EQUAL(503, result.status);
+    CPPUNIT_ASSERT(result.elapsed > milliseconds(50));
+    CPPUNIT_ASSERT(result.elapsed < milliseconds(300));
   }
 };
 
