Accept fractions in numbers that the platform gives

The platform's bounds are integers, fractions or booleans.

New domain decimal_range: a finite decimal number, parsed in any locale; junk, hexadecimal, nan, inf and trailing characters are refused. It is used for retry-slack, document-apply-ms and report-period-ms, whose values come from Bounds.RetrySlack, Bounds.ConfigApplyMs and HeartbeatMs. Milliseconds are rounded down; the value itself must lie in the range, whose minimum is whole. Tolerate.Machines and PortRange stay whole: a count and ports.

The tests of the rendered deploy/entry.conf and deploy/control.conf run the daemons with one more invalid setting, so that they print what they refuse and end.

--- a/include/pollenloft/settings.hpp
+++ b/include/pollenloft/settings.hpp
@@ -22,6 +22,12 @@
   std::int64_t min;
   std::int64_t max;
 };
+/// A decimal number from `min` to `max`, both included, that may have a
+/// fraction.
+struct decimal_range {
+  double min;
+  double max;
+};
 /// `a.b.c.d:port`
 struct required_address {};
 /// `a.b.c.d:port` or empty.
@@ -36,9 +42,9 @@
 };
 /// The values that a setting accepts.
 using setting_domain =
-    std::variant<any_text, nonempty_text, number_range, required_address,
-                 optional_address, socket_address_list, named_address_list,
-                 one_of>;
+    std::variant<any_text, nonempty_text, number_range, decimal_range,
+                 required_address, optional_address, socket_address_list,
+                 named_address_list, one_of>;
 
 /// Declaration of a setting.
 struct setting {
@@ -54,6 +60,8 @@
  public:
   auto text(const std::string& name) const -> const std::string&;
   auto number(const std::string& name) const -> std::int64_t;
+  auto decimal(const std::string& name) const -> double;
+  /// A number of milliseconds; a fraction is rounded down.
   auto millis(const std::string& name) const -> milliseconds;
   auto address(const std::string& name) const -> socket_address;
   auto named_addresses(const std::string& name) const
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -56,7 +56,7 @@
      "address for the platform's operators and endpoints"},
     {"metrics-listen", "", optional_address{},
      "additional address that serves /metrics"},
-    {"report-period-ms", "1200", number_range{50, 600000},
+    {"report-period-ms", "1200", decimal_range{50, 600000},
      "interval of the platform endpoints' reports"},
     {"data", "", nonempty_text{}, "directory of the replicated log"},
     {"lease-ms", "1500", number_range{300, 60000},
--- a/src/entryd.cpp
+++ b/src/entryd.cpp
@@ -26,12 +26,12 @@
     {"key-freshness-ms", "4000", number_range{100, 600000},
      "how long keys are accepted without contact to the control replicas; "
      "must be below the time within which a revoked key stops working"},
-    {"document-apply-ms", "2000", number_range{100, 600000},
+    {"document-apply-ms", "2000", decimal_range{100, 600000},
      "time within which an accepted document must be in force on every entry "
      "VM"},
     {"retry-percent", "20", number_range{0, 1000},
      "retries per hundred requests of a service"},
-    {"retry-slack", "50", number_range{0, 1000000},
+    {"retry-slack", "50", decimal_range{0, 1000000},
      "retries beyond that, over all VMs"},
     {"metrics-listen", "", optional_address{},
      "additional address that serves /metrics"},
@@ -75,7 +75,7 @@
   options.seed = seed;
   options.retry_ratio =
       static_cast<double>(values.number("retry-percent")) / 100;
-  options.retry_slack = static_cast<double>(values.number("retry-slack"));
+  options.retry_slack = values.decimal("retry-slack");
   options.document_apply_time = values.millis("document-apply-ms");
   options.drain_notice = values.millis("drain-notice-ms");
   options.routing.zone = options.zone;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,6 +1,9 @@
 #include "pollenloft/settings.hpp"
 
+#include <array>
 #include <boost/program_options.hpp>
+#include <charconv>
+#include <cmath>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -47,6 +50,24 @@
   return parsed;
 }
 
+/// Parses a decimal number that takes up the complete text, in any locale.
+auto parse_decimal(std::string_view text) -> std::optional<double> {
+  double value = 0;
+  const auto* end = text.data() + text.size();
+  const auto [next, code] = std::from_chars(text.data(), end, value);
+  if (code != std::errc() || next != end || !std::isfinite(value))
+    return std::nullopt;
+  return value;
+}
+
+auto format_decimal(double value) -> std::string {
+  std::array<char, 64> text{};
+  const auto end = std::to_chars(text.data(), text.data() + text.size(), value,
+                                 std::chars_format::fixed)
+                       .ptr;
+  return {text.data(), end};
+}
+
 /// The values that `domain` allows, or an empty text if `value` is valid.
 auto validate(const setting_domain& domain, const std::string& value)
     -> std::string {
@@ -63,6 +84,13 @@
             return "a whole number from " + std::to_string(range.min) + " to " +
                    std::to_string(range.max);
           },
+          [&](const decimal_range& range) {
+            const auto number = parse_decimal(value);
+            if (number && *number >= range.min && *number <= range.max)
+              return std::string();
+            return "a number from " + format_decimal(range.min) + " to " +
+                   format_decimal(range.max);
+          },
           [&](const required_address&) {
             return std::string(parse_socket_address(value) ? ""
                                                            : "a.b.c.d:port");
@@ -122,8 +150,12 @@
   return *parse_number(text(name));
 }
 
+auto settings::decimal(const std::string& name) const -> double {
+  return *parse_decimal(text(name));
+}
+
 auto settings::millis(const std::string& name) const -> milliseconds {
-  return milliseconds(number(name));
+  return milliseconds(static_cast<std::int64_t>(std::floor(decimal(name))));
 }
 
 auto settings::address(const std::string& name) const -> socket_address {
--- a/test/settings_test.cpp
+++ b/test/settings_test.cpp
@@ -3,6 +3,8 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <iostream>
+#include <sstream>
 
 #include "property.hpp"
 
@@ -10,6 +12,8 @@
 namespace {
 
 const std::vector<setting> known{{"name", "fallback", nonempty_text{}, ""},
+                                 {"slack", "50", decimal_range{0, 1000000}, ""},
+                                 {"period-ms", "9", decimal_range{5, 99}, ""},
                                  {"front", "", optional_address{}, ""},
                                  {"seeds", "", socket_address_list{}, ""}};
 
@@ -37,6 +41,73 @@
                         argv.data());
 }
 
+/// Parses `arguments` and returns what is printed to standard error.
+auto parse_and_capture(const std::vector<std::string>& arguments)
+    -> std::string {
+  std::ostringstream captured;
+  auto* const previous = std::cerr.rdbuf(captured.rdbuf());
+  const auto parsed = parse(arguments);
+  std::cerr.rdbuf(previous);
+  CPPUNIT_ASSERT_EQUAL(2, std::get<int>(parsed));
+  return captured.str();
+}
+
+using placeholder_values = std::map<std::string, std::string>;
+
+auto platform_values() -> placeholder_values {
+  return {{"NodeName", "n"},
+          {"Zone", "z"},
+          {"Ip", "10.0.0.1"},
+          {"PortRange.0", "7000"},
+          {"Listen.Front", "10.0.0.1:80"},
+          {"Listen.Readiness", "10.0.0.1:81"},
+          {"Listen.Control", "10.0.0.1:82"},
+          {"Seeds", "10.0.0.2:7000"},
+          {"DataDir", "/tmp"},
+          {"Bootstrap", "true"},
+          {"Tolerate.Machines", "1"},
+          {"HeartbeatMs", "1200"},
+          {"Bounds.RetrySlack", "50"},
+          {"Bounds.ConfigApplyMs", "2000"}};
+}
+
+/// The template deploy/`name` with all placeholders substituted.
+auto render(const std::string& name, const placeholder_values& values)
+    -> std::string {
+  std::ifstream file(std::string(POLLENLOFT_ROOT) + "/deploy/" + name);
+  std::ostringstream read;
+  read << file.rdbuf();
+  auto text = read.str();
+  for (const auto& [placeholder, value] : values)
+    for (auto at = text.find("{{" + placeholder + "}}");
+         at != std::string::npos; at = text.find("{{" + placeholder + "}}"))
+      text.replace(at, placeholder.size() + 4, value);
+  CPPUNIT_ASSERT_EQUAL(std::string::npos, text.find("{{"));
+  return text;
+}
+
+/// The settings that `program` refuses in a settings file. One more invalid
+/// setting ends the program before it starts.
+auto refused_settings(const std::string& program, const std::string& text)
+    -> std::string {
+  const settings_file file(text);
+  const auto command =
+      program + " --settings " + file.path() + " --log-level nothing 2>&1";
+  auto* const output = popen(command.c_str(), "r");  // NOLINT
+  CPPUNIT_ASSERT(output != nullptr);
+  std::string printed;
+  for (int c = fgetc(output); c != EOF; c = fgetc(output))
+    printed += static_cast<char>(c);
+  const auto status = pclose(output);
+  CPPUNIT_ASSERT(WIFEXITED(status));
+  CPPUNIT_ASSERT_EQUAL(2, WEXITSTATUS(status));
+  return printed;
+}
+
+const std::string refused_log_level =
+    "setting=log-level value=\"nothing\" "
+    "allowed=\"debug|info|warning|error\"\n";
+
 }  // namespace
 
 class settings_test : public CppUnit::TestFixture {
@@ -46,6 +117,12 @@
   CPPUNIT_TEST(address_lists_are_parsed);
   CPPUNIT_TEST(changed_file_is_reloaded_if_valid);
   CPPUNIT_TEST(unknown_setting_or_missing_file_gives_exit_code_2);
+  CPPUNIT_TEST(fraction_of_a_decimal_setting_is_refused);
+  CPPUNIT_TEST(text_that_is_no_number_is_accepted);
+  CPPUNIT_TEST(only_the_first_invalid_number_is_printed);
+  CPPUNIT_TEST(fraction_from_the_platform_ends_entryd);
+  CPPUNIT_TEST(fraction_from_the_platform_ends_controld);
+  CPPUNIT_TEST(daemon_accepts_junk_from_the_platform);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -98,6 +175,70 @@
     CPPUNIT_ASSERT_EQUAL(2, std::get<int>(parse({"--settings", file.path()})));
     CPPUNIT_ASSERT_EQUAL(2, std::get<int>(parse({"--settings", "/nowhere"})));
   }
+
+  auto fraction_of_a_decimal_setting_is_refused() -> void {
+    const auto parsed =
+        parse({"--slack", "61.724137931034484", "--period-ms", "5.99"});
+    const auto& values = std::get<settings>(parsed);
+    CPPUNIT_ASSERT_EQUAL(61.724137931034484, values.decimal("slack"));
+    CPPUNIT_ASSERT(values.millis("period-ms") == milliseconds(5));
+    for (const auto* whole : {"0", "1000000", "1e3", "7.0"})
+      CPPUNIT_ASSERT(
+          std::holds_alternative<settings>(parse({"--slack", whole})));
+  }
+
+  auto text_that_is_no_number_is_accepted() -> void {
+    for (const auto* junk :
+         {"", "x", "0x10", "nan", "inf", "-inf", "1e400", "1.5x", "1.5 ", " 1",
+          "+1", "1,5", "1.5.5", "true", "-0.1", "1000000.1"})
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          junk, 2, std::get<int>(parse({"--slack=" + std::string(junk)})));
+    for (const auto* outside : {"4.99", "99.01"})
+      CPPUNIT_ASSERT_EQUAL(2, std::get<int>(parse({"--period-ms", outside})));
+  }
+
+  auto only_the_first_invalid_number_is_printed() -> void {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("setting=slack value=\"nan\" "
+                    "allowed=\"a number from 0 to 1000000\"\n"
+                    "setting=period-ms value=\"1.5x\" "
+                    "allowed=\"a number from 5 to 99\"\n"),
+        parse_and_capture({"--slack", "nan", "--period-ms", "1.5x"}));
+  }
+
+  auto fraction_from_the_platform_ends_entryd() -> void {
+    auto values = platform_values();
+    values["Bounds.RetrySlack"] = "61.724137931034484";
+    values["Bounds.ConfigApplyMs"] = "1999.5";
+    CPPUNIT_ASSERT_EQUAL(
+        refused_log_level,
+        refused_settings(POLLENLOFT_ENTRYD, render("entry.conf", values)));
+  }
+
+  auto fraction_from_the_platform_ends_controld() -> void {
+    auto values = platform_values();
+    values["HeartbeatMs"] = "1200.25";
+    CPPUNIT_ASSERT_EQUAL(
+        refused_log_level,
+        refused_settings(POLLENLOFT_CONTROLD, render("control.conf", values)));
+  }
+
+  auto daemon_accepts_junk_from_the_platform() -> void {
+    auto values = platform_values();
+    values["Bounds.RetrySlack"] = "nan";
+    values["Bounds.ConfigApplyMs"] = "0x7d0";
+    values["HeartbeatMs"] = "1200ms";
+    const auto from_entryd =
+        refused_settings(POLLENLOFT_ENTRYD, render("entry.conf", values));
+    for (const auto* name : {"retry-slack", "document-apply-ms", "log-level"})
+      CPPUNIT_ASSERT(from_entryd.find("setting=" + std::string(name)) !=
+                     std::string::npos);
+    const auto from_controld =
+        refused_settings(POLLENLOFT_CONTROLD, render("control.conf", values));
+    for (const auto* name : {"report-period-ms", "log-level"})
+      CPPUNIT_ASSERT(from_controld.find("setting=" + std::string(name)) !=
+                     std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(settings_test);
