--- a/src/control_client.cpp
+++ b/src/control_client.cpp
@@ -204,13 +204,13 @@
 
 auto control_client::apply_document(const wire::renew_reply& reply,
                                     instant sent) -> bool {
+  newest_document_ = std::max(newest_document_, reply.document);
   if (reply.document < document_.number) {
     log_event(log_level::error, "document.older",
               {{"local_number", document_.number},
                {"leader_number", reply.document}});
     return false;
   }
-  newest_document_ = reply.document;
   newest_document_announced_ = sent;
   if (reply.document > document_.number && !reply.document_text.empty())
     replace_document({{reply.document, reply.document_text},
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -69,7 +69,7 @@
      "bandwidth of this VM's link; bulk transfers use up to half of it"},
     {"metrics-listen", "", optional_address{},
      "additional address that serves /metrics"},
-    {"report-period-ms", "1200", number_range{50, 600000},
+    {"report-period-ms", "1200", decimal_range{50, 600000},
      "interval of the platform endpoints' reports"},
     {"data", "", nonempty_text{}, "directory of the replicated log"},
     {"lease-ms", "1500", number_range{300, 60000},
