Take the link's bandwidth from the platform's settings

--link-mbps accepts a fraction and is rendered from Limits.LinkMbps. The fake leader of front_server_test serves parts of documents, and settings_test renders the new placeholder, with a fraction and with junk.

--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -65,7 +65,7 @@
      "--seeds the group grows to 2n + 1 replicas"},
     {"platform-listen", "", optional_address{},
      "address for the platform's operators and endpoints"},
-    {"link-mbps", "1000", number_range{1, 1000000},
+    {"link-mbps", "1000", decimal_range{0.1, 1000000},
      "bandwidth of this VM's link; bulk transfers use up to half of it"},
     {"metrics-listen", "", optional_address{},
      "additional address that serves /metrics"},
@@ -223,8 +223,7 @@
 
   static auto bulk_bytes_per_second(const settings& values) -> double {
     constexpr double bytes_per_megabit = 1e6 / 8;
-    return bulk_link_share * bytes_per_megabit *
-           static_cast<double>(values.number("link-mbps"));
+    return bulk_link_share * bytes_per_megabit * values.decimal("link-mbps");
   }
 
   static auto make_options(const settings& values) -> replica_options {
--- a/test/front_server_test.cpp
+++ b/test/front_server_test.cpp
@@ -42,6 +42,8 @@
   explicit fake_leader(event_loop& loop)
       : loop_(loop), server_(loop, http_limits{}, [this](const auto& call) {
           if (silent_) return held_.push_back(call);
+          if (call->request().path == state_transfer_path)
+            return send_part(call);
           reply_to(call);
         }) {
     CPPUNIT_ASSERT(server_.listen(control_address));
@@ -80,6 +82,16 @@
     });
   }
 
+  auto send_part(const exchange_ptr& call) -> void {
+    state_catalog documents;
+    if (!withholds_text)
+      documents.publish(document,
+                        make_document(document, document > 1 ? "new" : "old"));
+    const auto request = decode_wire<wire::state_request>(call->request().body);
+    const auto part = documents.part(*request);
+    call->reply(200, {}, encode_wire(part ? *part : wire::state_part{}));
+  }
+
   static auto endpoint() -> wire::endpoint_record {
     wire::endpoint_record record;
     record.id = "e";
--- a/test/settings_test.cpp
+++ b/test/settings_test.cpp
@@ -67,6 +67,7 @@
           {"Bootstrap", "true"},
           {"Tolerate.Machines", "1"},
           {"HeartbeatMs", "1200"},
+          {"Limits.LinkMbps", "1000.0"},
           {"Bounds.RetrySlack", "50"},
           {"Bounds.ConfigApplyMs", "2000"}};
 }
@@ -218,6 +219,7 @@
   auto fraction_from_the_platform_ends_controld() -> void {
     auto values = platform_values();
     values["HeartbeatMs"] = "1200.25";
+    values["Limits.LinkMbps"] = "170.5";
     CPPUNIT_ASSERT_EQUAL(
         refused_log_level,
         refused_settings(POLLENLOFT_CONTROLD, render("control.conf", values)));
@@ -228,6 +230,7 @@
     values["Bounds.RetrySlack"] = "nan";
     values["Bounds.ConfigApplyMs"] = "0x7d0";
     values["HeartbeatMs"] = "1200ms";
+    values["Limits.LinkMbps"] = "inf";
     const auto from_entryd =
         refused_settings(POLLENLOFT_ENTRYD, render("entry.conf", values));
     for (const auto* name : {"retry-slack", "document-apply-ms", "log-level"})
@@ -235,7 +238,7 @@
                      std::string::npos);
     const auto from_controld =
         refused_settings(POLLENLOFT_CONTROLD, render("control.conf", values));
-    for (const auto* name : {"report-period-ms", "log-level"})
+    for (const auto* name : {"report-period-ms", "link-mbps", "log-level"})
       CPPUNIT_ASSERT(from_controld.find("setting=" + std::string(name)) !=
                      std::string::npos);
   }
