Do not end a recovery by a log tail that the leader did not confirm

A recovering replica counted its whole log, so entries of an earlier leader after the last confirmed one let it vote before it had caught up.

Test, red before the change: stale_tail_does_not_finish_a_recovery: assertion failed - Expression: !node_->voting()

--- a/include/pollenloft/replica.hpp
+++ b/include/pollenloft/replica.hpp
@@ -231,7 +231,7 @@
   auto send_append(replica_id to, instant now) -> void;
   auto advance_commit() -> void;
   auto commit_to(log_index index) -> void;
-  auto finish_recovery(log_index leader_last_index) -> void;
+  auto finish_recovery(log_index match, log_index leader_last_index) -> void;
   auto quorum_contact_time(instant now) const -> instant;
 
   auto handle(const vote_request&, const replica_message&, instant) -> void;
--- a/src/replica.cpp
+++ b/src/replica.cpp
@@ -439,7 +439,7 @@
   }
   const auto match = request.prev_index + request.entries.size();
   commit_to(std::min(request.leader_commit, match));
-  finish_recovery(request.leader_last_index);
+  finish_recovery(match, request.leader_last_index);
   send(message.from, append_reply{true, match, request.round});
 }
 
@@ -539,8 +539,10 @@
   if (best != nullptr && !best->members.empty()) members_ = best->members;
 }
 
-auto replica::finish_recovery(log_index leader_last_index) -> void {
-  if (hard_state_.voting || last_index() < leader_last_index) return;
+/// Entries after `match` may conflict with the leader's log.
+auto replica::finish_recovery(log_index match, log_index leader_last_index)
+    -> void {
+  if (hard_state_.voting || match < leader_last_index) return;
   hard_state_.voting = true;
   persist_hard_state();
 }
--- a/test/replica_test.cpp
+++ b/test/replica_test.cpp
@@ -364,6 +364,7 @@
   CPPUNIT_TEST(grows_from_the_seed_members);
   CPPUNIT_TEST(empty_replicas_need_permission_to_form_a_cluster);
   CPPUNIT_TEST(replica_with_a_lost_disk_learns_the_current_members);
+  CPPUNIT_TEST(stale_tail_does_not_finish_a_recovery);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -687,6 +688,31 @@
     CPPUNIT_ASSERT(cluster.at(0).live->voting());
   }
 
+  /// Brings replica 1 of 3, whose disk was lost, to the state in which it only
+  /// lacks the entries.
+  auto make_recovering_follower() -> void {
+    make_replica(3, {});
+    node_->tick(now_);
+    std::uint64_t nonce = 0;
+    for (const auto& message : node_->take_effects().messages)
+      nonce = std::get<recover_request>(message.body).nonce;
+    for (replica_id from = 2; from <= 3; ++from)
+      receive(from, 4, recover_reply{nonce, false});
+  }
+
+  auto stale_tail_does_not_finish_a_recovery() -> void {
+    make_recovering_follower();
+    append_request stale;
+    stale.entries = {{4, 1, entry_kind::noop, ""},
+                     {4, 2, entry_kind::command, "stale"}};
+    stale.leader_last_index = 3;
+    receive(2, 4, stale);
+    append_request heartbeat;
+    heartbeat.leader_last_index = 2;
+    receive(3, 5, heartbeat);
+    CPPUNIT_ASSERT(!node_->voting());
+  }
+
   auto fuzz_five() -> void {
     check_property("five replicas agree with the list of commands",
                    [] { run_history(5, *step_codes()); });
