Send entries in flight again only after a resend time

Each heartbeat sent all unacknowledged entries again, and any reply ended their flight. Only a reply that covers the entries ends their flight.

Tests, red before the change: silent_follower_does_not_multiply_entries: less equal assertion failed - Expected less or equal than: 11 - Actual : 61 slow_follower_is_not_sent_entries_twice: equality assertion failed - Expected: 1 - Actual : 6 heartbeat_reply_does_not_end_the_flight_of_entries: assertion failed - Expression: heartbeat.entries.empty() snapshot_in_flight_does_not_silence_heartbeats: assertion failed - Expression: node.role() == replica_role::follower Green before and after: lost_entries_are_sent_again, mismatch_is_repaired_at_once.

--- a/include/pollenloft/replica.hpp
+++ b/include/pollenloft/replica.hpp
@@ -133,6 +133,9 @@
   duration election_min = milliseconds(300);  ///< minimum election timeout
   duration election_max = milliseconds(600);  ///< maximum election timeout
   std::size_t max_append_bytes = 256 * 1024;  ///< per append message
+  /// Entries and snapshots that are not acknowledged for this time are sent
+  /// again.
+  duration resend_after = milliseconds(600);
   std::uint64_t seed = 1;
 };
 
@@ -207,9 +210,9 @@
     log_index next = 1;
     log_index match = 0;
     std::uint64_t acked_round = 0;
-    instant sent_at{};
+    instant sent_at{};  // of the entries or the snapshot in flight
     std::optional<instant> last_reply_at;
-    bool in_flight = false;
+    log_index in_flight = 0;  // last index in flight, 0 if there is none
   };
 
   auto term_at(log_index index) const -> log_term;
@@ -229,6 +232,10 @@
   auto send_recover_requests(instant now) -> void;
   auto broadcast(instant now) -> void;
   auto send_append(replica_id to, instant now) -> void;
+  auto send_snapshot(replica_id to) -> void;
+  auto send_entries(replica_id to) -> void;
+  auto send_heartbeat(replica_id to) -> void;
+  auto make_append(log_index prev_index) const -> append_request;
   auto advance_commit() -> void;
   auto commit_to(log_index index) -> void;
   auto finish_recovery(log_index match, log_index leader_last_index) -> void;
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -216,6 +216,7 @@
     options.heartbeat = values.millis("heartbeat-ms");
     options.election_min = values.millis("election-ms");
     options.election_max = 2 * options.election_min;
+    options.resend_after = options.election_max;
     options.seed = static_cast<std::uint64_t>(
         boottime_clock::now().time_since_epoch().count());
     return options;
--- a/src/replica.cpp
+++ b/src/replica.cpp
@@ -236,8 +236,8 @@
   for (auto& command : commands)
     append_entry({hard_state_.term, last_index() + 1, entry_kind::command,
                   std::move(command)});
-  for (auto& [id, peer] : progress_)
-    if (!peer.in_flight) send_append(id, now);
+  for (const auto& [id, peer] : progress_)
+    if (peer.in_flight == 0) send_append(id, now);
   advance_commit();
   return first;
 }
@@ -291,26 +291,29 @@
   round_sent_at_[round_] = now;
   while (round_sent_at_.size() > max_tracked_rounds)
     round_sent_at_.erase(round_sent_at_.begin());
-  for (auto& [id, peer] : progress_)
+  for (const auto& [id, peer] : progress_)
     send_append(id, now);
 }
 
+/// Sends what the peer lacks, or only a heartbeat while the peer may still
+/// acknowledge what is in flight.
 auto replica::send_append(replica_id to, instant now) -> void {
   auto& peer = progress_[to];
-  if (peer.next <= snapshot_.index) {
-    // Snapshots are large, so an unacknowledged one is resent only after the
-    // maximum election timeout.
-    if (peer.in_flight && now - peer.sent_at < options_.election_max) return;
-    peer.in_flight = true;
-    peer.sent_at = now;
-    return send(to, install_snapshot_request{snapshot_, round_});
-  }
-  append_request request;
-  request.prev_index = peer.next - 1;
-  request.prev_term = term_at(peer.next - 1);
-  request.leader_commit = commit_;
-  request.leader_last_index = last_index();
-  request.round = round_;
+  if (peer.in_flight != 0 && now - peer.sent_at < options_.resend_after)
+    return send_heartbeat(to);
+  peer.sent_at = now;
+  if (peer.next <= snapshot_.index) return send_snapshot(to);
+  send_entries(to);
+}
+
+auto replica::send_snapshot(replica_id to) -> void {
+  progress_[to].in_flight = snapshot_.index;
+  send(to, install_snapshot_request{snapshot_, round_});
+}
+
+auto replica::send_entries(replica_id to) -> void {
+  auto& peer = progress_[to];
+  auto request = make_append(peer.next - 1);
   std::size_t bytes = 0;
   for (auto i = peer.next; i <= last_index(); ++i) {
     const auto* entry = entry_at(i);
@@ -318,11 +321,27 @@
     if (!request.entries.empty() && bytes > options_.max_append_bytes) break;
     request.entries.push_back(*entry);
   }
-  peer.in_flight = !request.entries.empty();
-  peer.sent_at = now;
+  peer.in_flight = request.entries.empty() ? 0 : request.entries.back().index;
   send(to, std::move(request));
 }
 
+/// The previous index is one that the peer holds, so the heartbeat matches even
+/// if it arrives before the entries in flight.
+auto replica::send_heartbeat(replica_id to) -> void {
+  const auto match = progress_[to].match;
+  send(to, make_append(match >= snapshot_.index ? match : 0));
+}
+
+auto replica::make_append(log_index prev_index) const -> append_request {
+  append_request request;
+  request.prev_index = prev_index;
+  request.prev_term = term_at(prev_index);
+  request.leader_commit = commit_;
+  request.leader_last_index = last_index();
+  request.round = round_;
+  return request;
+}
+
 auto replica::advance_commit() -> void {
   if (role_ != replica_role::leader) return;
   std::vector<log_index> matches;
@@ -454,8 +473,8 @@
   peer.acked_round = std::max(peer.acked_round, reply.round);
   peer.last_reply_at = now;
   quorum_confirmed_at_ = quorum_contact_time(now);
-  peer.in_flight = false;
   if (!reply.matched) {
+    peer.in_flight = 0;
     // A hint below the recorded match means that the follower lost its disk.
     peer.match = std::min(peer.match, reply.index);
     peer.next = std::min(reply.index, last_index()) + 1;
@@ -463,8 +482,10 @@
   }
   peer.match = std::max(peer.match, reply.index);
   peer.next = std::max(peer.next, peer.match + 1);
+  if (reply.index >= peer.in_flight) peer.in_flight = 0;
   advance_commit();
-  if (peer.next <= last_index()) send_append(message.from, now);
+  if (peer.in_flight == 0 && peer.next <= last_index())
+    send_append(message.from, now);
 }
 
 auto replica::handle(const install_snapshot_request& request,
--- a/test/replica_test.cpp
+++ b/test/replica_test.cpp
@@ -1,6 +1,7 @@
 #include "pollenloft/replica.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <memory>
 #include <utility>
 
@@ -68,7 +69,7 @@
       if (std::exchange(node.crash_before_sync, false)) return crash(i);
       persist(node.disk, effects);
       for (auto& message : effects.messages)
-        network.push_back(message);
+        post(message);
       if (effects.restore) restore(i, *effects.restore);
       for (const auto& entry : effects.committed)
         apply(i, entry);
@@ -76,6 +77,13 @@
     check_single_leader();
   }
 
+  auto post(const replica_message& message) -> void {
+    if (const auto* append = std::get_if<append_request>(&message.body))
+      for (const auto& entry : append->entries)
+        ++sent_entries[{message.to, entry.index}];
+    network.push_back(message);
+  }
+
   static auto persist(persisted_state& disk, const replica_effects& effects)
       -> void {
     if (effects.hard) disk.hard = effects.hard;
@@ -129,7 +137,7 @@
     auto& node = nodes_[to];
     if (!node.live || node.partitioned || nodes_[message.from - 1].partitioned)
       return;
-    if (node.frozen) {
+    if (node.frozen || (held && held(message))) {
       network.push_back(
           message);  // stays in the socket buffer of the frozen process
       return;
@@ -214,6 +222,10 @@
 
   instant now{std::chrono::seconds(100)};
   std::vector<replica_message> network;
+  /// Selects messages that stay in the network.
+  std::function<bool(const replica_message&)> held;
+  /// How often each entry was sent, by receiver and index.
+  std::map<std::pair<replica_id, log_index>, std::size_t> sent_entries;
   std::vector<std::string> committed;
 
  private:
@@ -365,6 +377,12 @@
   CPPUNIT_TEST(empty_replicas_need_permission_to_form_a_cluster);
   CPPUNIT_TEST(replica_with_a_lost_disk_learns_the_current_members);
   CPPUNIT_TEST(stale_tail_does_not_finish_a_recovery);
+  CPPUNIT_TEST(silent_follower_does_not_multiply_entries);
+  CPPUNIT_TEST(slow_follower_is_not_sent_entries_twice);
+  CPPUNIT_TEST(heartbeat_reply_does_not_end_the_flight_of_entries);
+  CPPUNIT_TEST(snapshot_in_flight_does_not_silence_heartbeats);
+  CPPUNIT_TEST(lost_entries_are_sent_again);
+  CPPUNIT_TEST(mismatch_is_repaired_at_once);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -713,6 +731,139 @@
     CPPUNIT_ASSERT(!node_->voting());
   }
 
+  auto silent_follower_does_not_multiply_entries() -> void {
+    fake_cluster cluster(3);
+    cluster.run_for(milliseconds(1500));
+    const auto leader = *cluster.leader();
+    const auto silent = (leader + 1) % 3;
+    cluster.at(silent).partitioned = true;
+    cluster.propose(leader, "entry");
+    const auto index = cluster.at(leader).live->last_index();
+    cluster.run_for(milliseconds(6000));
+    const auto sent =
+        cluster.sent_entries[{static_cast<replica_id>(silent + 1), index}];
+    CPPUNIT_ASSERT(sent >= 5);
+    CPPUNIT_ASSERT_LESSEQUAL(std::size_t{11}, sent);
+  }
+
+  auto slow_follower_is_not_sent_entries_twice() -> void {
+    fake_cluster cluster(3);
+    cluster.run_for(milliseconds(1500));
+    const auto leader = *cluster.leader();
+    const auto slow = static_cast<replica_id>((leader + 1) % 3 + 1);
+    cluster.held = [&](const auto& message) {
+      const auto* append = std::get_if<append_request>(&message.body);
+      return message.to == slow && append && !append->entries.empty();
+    };
+    for (int i = 0; i < 5; ++i) {
+      cluster.propose(leader, "entry-" + std::to_string(i));
+      cluster.run_for(milliseconds(100));
+    }
+    cluster.held = {};
+    cluster.run_for(milliseconds(200));
+    const auto last = cluster.at(leader).live->last_index();
+    for (auto index = last - 4; index <= last; ++index)
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                           (cluster.sent_entries[{slow, index}]));
+    CPPUNIT_ASSERT(cluster.at(slow - 1).applied == cluster.committed);
+  }
+
+  /// Makes replica 1 the leader of 3 in term 2; its entry 3 has reached the
+  /// other replicas.
+  auto make_leader() -> void {
+    make_replica(3, disk_with_two_entries());
+    now_ += milliseconds(350);
+    node_->tick(now_);
+    node_->take_effects();
+    receive(2, 1, vote_reply{true, true});
+    receive(2, 2, vote_reply{false, true});
+    receive(2, 2, append_reply{true, 3, 1});
+    receive(3, 2, append_reply{true, 3, 1});
+    CPPUNIT_ASSERT(node_->has_committed_in_term());
+  }
+
+  static auto appends_to(replica_id to, const replica_effects& effects)
+      -> std::vector<append_request> {
+    std::vector<append_request> appends;
+    for (const auto& message : effects.messages)
+      if (const auto* append = std::get_if<append_request>(&message.body))
+        if (message.to == to) appends.push_back(*append);
+    return appends;
+  }
+
+  auto heartbeat_to(replica_id to) -> append_request {
+    now_ += milliseconds(100);
+    node_->tick(now_);
+    return appends_to(to, node_->take_effects()).at(0);
+  }
+
+  auto heartbeat_reply_does_not_end_the_flight_of_entries() -> void {
+    make_leader();
+    node_->propose({"entry"}, now_);
+    node_->take_effects();
+    auto heartbeat = heartbeat_to(2);
+    CPPUNIT_ASSERT(heartbeat.entries.empty());
+    CPPUNIT_ASSERT_EQUAL(log_index{3}, heartbeat.prev_index);
+    const auto lease = node_->leader_lease_until();
+    receive(2, 2, append_reply{true, 3, heartbeat.round});
+    CPPUNIT_ASSERT(node_->leader_lease_until() > lease);
+    heartbeat = heartbeat_to(2);
+    CPPUNIT_ASSERT(heartbeat.entries.empty());
+    receive(2, 2, append_reply{true, 4, 2});
+    CPPUNIT_ASSERT_EQUAL(log_index{4}, node_->commit_index());
+    heartbeat = heartbeat_to(2);
+    CPPUNIT_ASSERT_EQUAL(log_index{4}, heartbeat.prev_index);
+    receive(2, 2, append_reply{true, 3, heartbeat.round});  // a late reply
+    CPPUNIT_ASSERT_EQUAL(log_index{4}, heartbeat_to(2).prev_index);
+  }
+
+  auto snapshot_in_flight_does_not_silence_heartbeats() -> void {
+    fake_cluster cluster(3);
+    cluster.run_for(milliseconds(1500));
+    const auto leader = *cluster.leader();
+    const auto lagging = (leader + 1) % 3;
+    cluster.crash(lagging);
+    cluster.propose(leader, "entry");
+    cluster.run_for(milliseconds(500));
+    cluster.compact(leader);
+    cluster.held = [&](const auto& message) {
+      return std::holds_alternative<install_snapshot_request>(message.body);
+    };
+    cluster.start(lagging);
+    cluster.run_for(milliseconds(1000));
+    for (int i = 0; i < 300; ++i) {
+      cluster.run_for(milliseconds(10));
+      const auto& node = *cluster.at(lagging).live;
+      CPPUNIT_ASSERT(node.role() == replica_role::follower);
+      CPPUNIT_ASSERT(cluster.now - node.last_leader_contact() <
+                     milliseconds(200));
+    }
+    cluster.held = {};
+    cluster.run_for(milliseconds(200));
+    CPPUNIT_ASSERT(cluster.at(lagging).applied == cluster.committed);
+  }
+
+  auto lost_entries_are_sent_again() -> void {
+    fake_cluster cluster(3);
+    cluster.run_for(milliseconds(1500));
+    const auto leader = *cluster.leader();
+    cluster.propose(leader, "entry");
+    cluster.network.clear();
+    cluster.run_for(milliseconds(800));
+    for (std::size_t i = 0; i < 3; ++i)
+      CPPUNIT_ASSERT_EQUAL(std::string("entry"), cluster.at(i).applied.back());
+  }
+
+  auto mismatch_is_repaired_at_once() -> void {
+    make_leader();
+    node_->propose({"entry"}, now_);
+    node_->take_effects();
+    const auto sent =
+        appends_to(2, receive(2, 2, append_reply{false, 1, 2})).at(0);
+    CPPUNIT_ASSERT_EQUAL(log_index{1}, sent.prev_index);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, sent.entries.size());
+  }
+
   auto fuzz_five() -> void {
     check_property("five replicas agree with the list of commands",
                    [] { run_history(5, *step_codes()); });
