Ignore mismatch replies to earlier attempts

Every duplicate or late mismatch reply sent the entries again. A hint that is not below the current attempt answers an earlier one.

Test, red before the change: late_mismatch_does_not_send_entries_again: assertion failed - Expression: appends_to(2, receive(2, 2, append_reply{false, 1, 2})).empty()

--- a/src/replica.cpp
+++ b/src/replica.cpp
@@ -474,6 +474,8 @@
   peer.last_reply_at = now;
   quorum_confirmed_at_ = quorum_contact_time(now);
   if (!reply.matched) {
+    // A hint that is not below the current attempt answers an earlier one.
+    if (reply.index + 1 >= peer.next) return;
     peer.in_flight = 0;
     // A hint below the recorded match means that the follower lost its disk.
     peer.match = std::min(peer.match, reply.index);
--- a/test/replica_test.cpp
+++ b/test/replica_test.cpp
@@ -383,6 +383,7 @@
   CPPUNIT_TEST(snapshot_in_flight_does_not_silence_heartbeats);
   CPPUNIT_TEST(lost_entries_are_sent_again);
   CPPUNIT_TEST(mismatch_is_repaired_at_once);
+  CPPUNIT_TEST(late_mismatch_does_not_send_entries_again);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -864,6 +865,13 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, sent.entries.size());
   }
 
+  auto late_mismatch_does_not_send_entries_again() -> void {
+    make_leader();
+    receive(2, 2, append_reply{false, 1, 2});
+    CPPUNIT_ASSERT(
+        appends_to(2, receive(2, 2, append_reply{false, 1, 2})).empty());
+  }
+
   auto fuzz_five() -> void {
     check_property("five replicas agree with the list of commands",
                    [] { run_history(5, *step_codes()); });
