Tell followers of a commit before the next heartbeat

Followers learned of a commit up to one heartbeat interval late. The leader now sends an empty append as soon as a peer without entries in flight could apply more than it was told, once for each advance of the commit index.

Tests, red before the change: followers_learn_of_a_commit_before_the_next_heartbeat: equality assertion failed, expected: entry, actual: (empty) late_acknowledgement_is_answered_with_the_commit_index: equality assertion failed, expected: 1, actual: 0

--- a/include/pollenloft/replica.hpp
+++ b/include/pollenloft/replica.hpp
@@ -212,7 +212,8 @@
     std::uint64_t acked_round = 0;
     instant sent_at{};  // of the entries or the snapshot in flight
     std::optional<instant> last_reply_at;
-    log_index in_flight = 0;  // last index in flight, 0 if there is none
+    log_index in_flight = 0;    // last index in flight, 0 if there is none
+    log_index sent_commit = 0;  // as far as the peer could apply it
   };
 
   auto term_at(log_index index) const -> log_term;
@@ -235,6 +236,8 @@
   auto send_snapshot(replica_id to) -> void;
   auto send_entries(replica_id to) -> void;
   auto send_heartbeat(replica_id to) -> void;
+  auto send_new_commit_index() -> void;
+  auto send_append_request(replica_id to, append_request request) -> void;
   auto make_append(log_index prev_index) const -> append_request;
   auto advance_commit() -> void;
   auto commit_to(log_index index) -> void;
--- a/src/replica.cpp
+++ b/src/replica.cpp
@@ -118,6 +118,7 @@
 }
 
 auto replica::take_effects() -> replica_effects {
+  send_new_commit_index();
   return std::exchange(effects_, {});
 }
 
@@ -322,14 +323,33 @@
     request.entries.push_back(*entry);
   }
   peer.in_flight = request.entries.empty() ? 0 : request.entries.back().index;
-  send(to, std::move(request));
+  send_append_request(to, std::move(request));
 }
 
 /// The previous index is one that the peer holds, so the heartbeat matches even
 /// if it arrives before the entries in flight.
 auto replica::send_heartbeat(replica_id to) -> void {
   const auto match = progress_[to].match;
-  send(to, make_append(match >= snapshot_.index ? match : 0));
+  send_append_request(to, make_append(match >= snapshot_.index ? match : 0));
+}
+
+/// Peers with entries in flight learn of the commit index after they have
+/// acknowledged the entries.
+auto replica::send_new_commit_index() -> void {
+  for (auto& [id, peer] : progress_) {
+    const auto commit = std::min(commit_, peer.match);
+    if (peer.in_flight != 0 || peer.sent_commit >= commit) continue;
+    send_heartbeat(id);
+    peer.sent_commit = commit;
+  }
+}
+
+auto replica::send_append_request(replica_id to, append_request request)
+    -> void {
+  auto& sent = progress_[to].sent_commit;
+  const auto last = request.prev_index + request.entries.size();
+  sent = std::max(sent, std::min(commit_, last));
+  send(to, std::move(request));
 }
 
 auto replica::make_append(log_index prev_index) const -> append_request {
--- a/test/replica_test.cpp
+++ b/test/replica_test.cpp
@@ -384,6 +384,8 @@
   CPPUNIT_TEST(lost_entries_are_sent_again);
   CPPUNIT_TEST(mismatch_is_repaired_at_once);
   CPPUNIT_TEST(late_mismatch_does_not_send_entries_again);
+  CPPUNIT_TEST(followers_learn_of_a_commit_before_the_next_heartbeat);
+  CPPUNIT_TEST(late_acknowledgement_is_answered_with_the_commit_index);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -872,6 +874,31 @@
         appends_to(2, receive(2, 2, append_reply{false, 1, 2})).empty());
   }
 
+  auto followers_learn_of_a_commit_before_the_next_heartbeat() -> void {
+    fake_cluster cluster(3);
+    cluster.run_for(milliseconds(1500));
+    const auto leader = *cluster.leader();
+    while (!cluster.network.empty() || !cluster.propose(leader, "entry"))
+      cluster.run_for(milliseconds(10));
+    for (int i = 0; i < 20 && !cluster.network.empty(); ++i)
+      cluster.deliver(0);  // no tick
+    CPPUNIT_ASSERT(cluster.network.empty());
+    for (std::size_t i = 0; i < 3; ++i)
+      CPPUNIT_ASSERT_EQUAL(std::string("entry"), cluster.at(i).applied.back());
+  }
+
+  auto late_acknowledgement_is_answered_with_the_commit_index() -> void {
+    make_leader();
+    node_->propose({"entry"}, now_);
+    node_->take_effects();
+    receive(2, 2, append_reply{true, 4, 2});
+    CPPUNIT_ASSERT_EQUAL(log_index{4}, heartbeat_to(3).leader_commit);
+    const auto sent = appends_to(3, receive(3, 2, append_reply{true, 4, 2}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sent.size());
+    CPPUNIT_ASSERT_EQUAL(log_index{4}, sent[0].prev_index);
+    CPPUNIT_ASSERT_EQUAL(log_index{4}, sent[0].leader_commit);
+  }
+
   auto fuzz_five() -> void {
     check_property("five replicas agree with the list of commands",
                    [] { run_history(5, *step_codes()); });
