--- a/src/replica.cpp
+++ b/src/replica.cpp
@@ -118,6 +118,7 @@
 }
 
 auto replica::take_effects() -> replica_effects {
+  send_new_commit_index();
   return std::exchange(effects_, {});
 }
 
@@ -236,8 +237,8 @@
   for (auto& command : commands)
     append_entry({hard_state_.term, last_index() + 1, entry_kind::command,
                   std::move(command)});
-  for (auto& [id, peer] : progress_)
-    if (!peer.in_flight) send_append(id, now);
+  for (const auto& [id, peer] : progress_)
+    if (peer.in_flight == 0) send_append(id, now);
   advance_commit();
   return first;
 }
@@ -291,26 +292,29 @@
   round_sent_at_[round_] = now;
   while (round_sent_at_.size() > max_tracked_rounds)
     round_sent_at_.erase(round_sent_at_.begin());
-  for (auto& [id, peer] : progress_)
+  for (const auto& [id, peer] : progress_)
     send_append(id, now);
 }
 
+/// Sends what the peer lacks, or only a heartbeat while the peer may still
+/// acknowledge what is in flight.
 auto replica::send_append(replica_id to, instant now) -> void {
   auto& peer = progress_[to];
-  if (peer.next <= snapshot_.index) {
-    // Snapshots are large, so an unacknowledged one is resent only after the
-    // maximum election timeout.
-    if (peer.in_flight && now - peer.sent_at < options_.election_max) return;
-    peer.in_flight = true;
-    peer.sent_at = now;
-    return send(to, install_snapshot_request{snapshot_, round_});
-  }
-  append_request request;
-  request.prev_index = peer.next - 1;
-  request.prev_term = term_at(peer.next - 1);
-  request.leader_commit = commit_;
-  request.leader_last_index = last_index();
-  request.round = round_;
+  if (peer.in_flight != 0 && now - peer.sent_at < options_.resend_after)
+    return send_heartbeat(to);
+  peer.sent_at = now;
+  if (peer.next <= snapshot_.index) return send_snapshot(to);
+  send_entries(to);
+}
+
+auto replica::send_snapshot(replica_id to) -> void {
+  progress_[to].in_flight = snapshot_.index;
+  send(to, install_snapshot_request{snapshot_, round_});
+}
+
+auto replica::send_entries(replica_id to) -> void {
+  auto& peer = progress_[to];
+  auto request = make_append(peer.next - 1);
   std::size_t bytes = 0;
   for (auto i = peer.next; i <= last_index(); ++i) {
     const auto* entry = entry_at(i);
@@ -318,11 +322,46 @@
     if (!request.entries.empty() && bytes > options_.max_append_bytes) break;
     request.entries.push_back(*entry);
   }
-  peer.in_flight = !request.entries.empty();
-  peer.sent_at = now;
+  peer.in_flight = request.entries.empty() ? 0 : request.entries.back().index;
+  send_append_request(to, std::move(request));
+}
+
+/// The previous index is one that the peer holds, so the heartbeat matches even
+/// if it arrives before the entries in flight.
+auto replica::send_heartbeat(replica_id to) -> void {
+  const auto match = progress_[to].match;
+  send_append_request(to, make_append(match >= snapshot_.index ? match : 0));
+}
+
+/// Peers with entries in flight learn of the commit index after they have
+/// acknowledged the entries.
+auto replica::send_new_commit_index() -> void {
+  for (auto& [id, peer] : progress_) {
+    const auto commit = std::min(commit_, peer.match);
+    if (peer.in_flight != 0 || peer.sent_commit >= commit) continue;
+    send_heartbeat(id);
+    peer.sent_commit = commit;
+  }
+}
+
+auto replica::send_append_request(replica_id to, append_request request)
+    -> void {
+  auto& sent = progress_[to].sent_commit;
+  const auto last = request.prev_index + request.entries.size();
+  sent = std::max(sent, std::min(commit_, last));
   send(to, std::move(request));
 }
 
+auto replica::make_append(log_index prev_index) const -> append_request {
+  append_request request;
+  request.prev_index = prev_index;
+  request.prev_term = term_at(prev_index);
+  request.leader_commit = commit_;
+  request.leader_last_index = last_index();
+  request.round = round_;
+  return request;
+}
+
 auto replica::advance_commit() -> void {
   if (role_ != replica_role::leader) return;
   std::vector<log_index> matches;
@@ -439,7 +478,7 @@
   }
   const auto match = request.prev_index + request.entries.size();
   commit_to(std::min(request.leader_commit, match));
-  finish_recovery(request.leader_last_index);
+  finish_recovery(match, request.leader_last_index);
   send(message.from, append_reply{true, match, request.round});
 }
 
@@ -454,8 +493,10 @@
   peer.acked_round = std::max(peer.acked_round, reply.round);
   peer.last_reply_at = now;
   quorum_confirmed_at_ = quorum_contact_time(now);
-  peer.in_flight = false;
   if (!reply.matched) {
+    // A hint that is not below the current attempt answers an earlier one.
+    if (reply.index + 1 >= peer.next) return;
+    peer.in_flight = 0;
     // A hint below the recorded match means that the follower lost its disk.
     peer.match = std::min(peer.match, reply.index);
     peer.next = std::min(reply.index, last_index()) + 1;
@@ -463,8 +504,10 @@
   }
   peer.match = std::max(peer.match, reply.index);
   peer.next = std::max(peer.next, peer.match + 1);
+  if (reply.index >= peer.in_flight) peer.in_flight = 0;
   advance_commit();
-  if (peer.next <= last_index()) send_append(message.from, now);
+  if (peer.in_flight == 0 && peer.next <= last_index())
+    send_append(message.from, now);
 }
 
 auto replica::handle(const install_snapshot_request& request,
@@ -539,8 +582,10 @@
   if (best != nullptr && !best->members.empty()) members_ = best->members;
 }
 
-auto replica::finish_recovery(log_index leader_last_index) -> void {
-  if (hard_state_.voting || last_index() < leader_last_index) return;
+/// Entries after `match` may conflict with the leader's log.
+auto replica::finish_recovery(log_index match, log_index leader_last_index)
+    -> void {
+  if (hard_state_.voting || match < leader_last_index) return;
   hard_state_.voting = true;
   persist_hard_state();
 }
