End open requests at a second SIGTERM during the drain notice

docs/OPERATIONS.md says that a second SIGTERM ends open requests with their final answer. During the drain notice it restarted the notice instead, since shut_down looked at the phase, which is `notice` also for a VM that an operator drains. It now remembers that a shutdown has begun.

The process stops 0.2 s after open requests were ended, so from then on both fronts take no new ones, also when the notice has not passed; a request accepted in that time would have been lost.

--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -501,7 +501,8 @@
 
 auto entry_server::shut_down() -> void {
   if (options_.disabled_mechanism == "drain") return loop_.stop();
-  if (phase_ == drain_phase::refusing) return end_open_requests();
+  if (shutting_down_) return end_open_requests();
+  shutting_down_ = true;
   log_event(log_level::info, "drain.started",
             {{"open_requests", requests_.size()}});
   phase_ = drain_phase::notice;
@@ -521,6 +522,8 @@
 }
 
 auto entry_server::end_open_requests() -> void {
+  phase_ = drain_phase::refusing;
+  server_.close_listener();
   log_event(log_level::warning, "drain.requests_ended",
             {{"open_requests", requests_.size()}});
   std::vector<caller_request_ptr> open;
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -42,8 +42,7 @@
   /// Listens and starts to renew the configuration lease. Empty if the address
   /// cannot be bound, see `last_error`.
   auto start() -> std::optional<bool>;
-  /// Drains, then stops the loop. A call after the drain notice ends open
-  /// requests at once.
+  /// Drains, then stops the loop. A second call ends open requests at once.
   auto shut_down() -> void;
   /// Replies with all metrics of this VM in the Prometheus text format.
   auto show_metrics(const exchange_ptr& call) -> void;
@@ -128,6 +127,7 @@
   timer drain_timer_;
   timer grace_timer_;
   drain_phase phase_ = drain_phase::serving;
+  bool shutting_down_ = false;
   bool had_lease_ = false;
   request_id next_request_ = 0;
   service_queues queues_;
--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -433,6 +433,7 @@
 }
 
 auto front_server::end_open_requests() -> void {
+  refusing_new_ = true;
   refuse_expired_deferred(instant::max());
   std::vector<front_request_ptr> open;
   for (const auto& [id, request] : requests_)
--- a/src/front_server.hpp
+++ b/src/front_server.hpp
@@ -42,7 +42,8 @@
   /// has passed.
   auto drain() -> void;
   auto open_requests() const -> std::size_t { return requests_.size(); }
-  /// Ends all open and deferred requests with a final response.
+  /// Ends all open and deferred requests with a final response and refuses new
+  /// ones.
   auto end_open_requests() -> void;
 
   auto loop() -> event_loop& override { return loop_; }
--- a/test/front_server_test.cpp
+++ b/test/front_server_test.cpp
@@ -132,6 +132,7 @@
   CPPUNIT_TEST(deferred_request_outlives_its_deadline);
   CPPUNIT_TEST(disconnected_caller_keeps_its_place);
   CPPUNIT_TEST(deferred_request_is_lost_at_shutdown);
+  CPPUNIT_TEST(request_is_accepted_after_open_requests_were_ended);
   CPPUNIT_TEST_SUITE_END();
 
   event_loop loop_;
@@ -368,6 +369,14 @@
     CPPUNIT_ASSERT(result.elapsed > milliseconds(50));
     CPPUNIT_ASSERT(result.elapsed < milliseconds(300));
   }
+
+  /// The process stops a moment later, also during the drain notice.
+  auto request_is_accepted_after_open_requests_were_ended() -> void {
+    receive_document();
+    front_->drain();
+    front_->end_open_requests();
+    CPPUNIT_ASSERT_EQUAL(503, send("/x/1").status);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(front_server_test);
