Keep a VM that shuts down not ready when the configuration changes

Any configuration that arrived during the drain notice after SIGTERM, the first one included, set the phase back to serving, as for a VM whose operator has ended its drain: /readyz answered 200 until the notice had passed. Only a drain by the configuration is ended by it now.

Test failed before: entry_server_test configuration_makes_a_vm_ready_that_shuts_down expected 503, was 200

--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -278,7 +278,8 @@
   const auto drain = self != config.vms.end() && self->second.drain;
   control_.set_draining(drain);
   if (drain && phase_ == drain_phase::serving) phase_ = drain_phase::notice;
-  if (!drain && phase_ == drain_phase::notice) phase_ = drain_phase::serving;
+  if (!drain && !shutting_down_ && phase_ == drain_phase::notice)
+    phase_ = drain_phase::serving;
   dispatch_task_.schedule();
 }
 
--- a/test/entry_server_test.cpp
+++ b/test/entry_server_test.cpp
@@ -14,10 +14,12 @@
   CPPUNIT_TEST_SUITE(entry_server_test);
   CPPUNIT_TEST(second_shutdown_restarts_the_drain_notice);
   CPPUNIT_TEST(request_is_accepted_after_a_second_shutdown);
+  CPPUNIT_TEST(configuration_makes_a_vm_ready_that_shuts_down);
   CPPUNIT_TEST_SUITE_END();
 
   event_loop loop_;
   std::unique_ptr<entry_server> server_;
+  timer reply_timer_;
   int ended_ = 0;
 
  public:
@@ -64,6 +66,29 @@
     wait(milliseconds(100));
     CPPUNIT_ASSERT(outcome && std::holds_alternative<call_unsent>(*outcome));
   }
+
+  auto configuration_makes_a_vm_ready_that_shuts_down() -> void {
+    http_server leader(loop_, http_limits{}, [this](const auto& call) {
+      wire::renew_reply reply;
+      reply.granted = true;
+      reply.leader = control_address.text();
+      reply.lease_ms = 1000;
+      reply.term = 1;
+      reply_timer_ = loop_.after(milliseconds(10), [call, reply] {
+        call->reply(200, {}, encode_wire(reply));
+      });
+    });
+    server_->shut_down();
+    CPPUNIT_ASSERT(leader.listen(control_address));
+    wait(milliseconds(200));
+    CPPUNIT_ASSERT(server_->control().lease_valid());
+    http_client caller(loop_);
+    int status = 0;
+    caller.send({entry_address, "GET", "/readyz"},
+                {[&](int code, const auto&) { status = code; }, {}, {}});
+    wait(milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(503, status);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(entry_server_test);
