Carry large messages between control VMs in parts

A batch or directory share needing longer than its call's 400 ms was cut and sent again from its first byte; one above the server's body limit of 1 MiB was never accepted. Messages above 32 KiB now travel in parts, each a call of its own, acknowledged and continued where they stopped. One transfer to a peer at a time, two wait; a batch that starts where one under way starts is not queued again. Heartbeats, votes and replies keep their own calls. A transfer is given up after 8 failures without progress; the receiver holds one transfer a sender and at most 64 MiB.

--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -10,6 +10,7 @@
 #include "directory_store.hpp"
 #include "layer_placer.hpp"
 #include "operator_views.hpp"
+#include "peer_link.hpp"
 #include "pollenloft/control.hpp"
 #include "pollenloft/journal.hpp"
 #include "pollenloft/net.hpp"
@@ -235,9 +236,11 @@
     return address ? address->text() : "";
   }
 
-  auto post_to(replica_id id, const std::string& path, const std::string& body)
-      -> void {
+  auto post_to(replica_id id, const std::string& path, const std::string& body,
+               const std::string& key = {}) -> void {
     const auto address = peer_address(id);
+    if (address && body.size() > max_part_bytes)
+      return transfer_to(id, {path, body, key});
     auto& in_flight = in_flight_[id];
     if (!address || in_flight >= max_in_flight_per_peer) return;
     ++in_flight;
@@ -249,12 +252,61 @@
          }});
   }
 
+  auto transfer_to(replica_id id, peer_message message) -> void {
+    if (message.bytes.size() > max_transfer_bytes)
+      log_event(log_level::error, "transfer.too_large",
+                {{"peer", ipv4_text(id)}, {"bytes", message.bytes.size()}});
+    const auto first = boottime_clock::now().time_since_epoch().count();
+    part_senders_.try_emplace(id, id_, first)
+        .first->second.enqueue(std::move(message));
+    send_part(id);
+  }
+
+  auto send_part(replica_id id) -> void {
+    const auto address = peer_address(id);
+    const auto part = part_senders_.at(id).next_part();
+    if (!address || !part) return;
+    const auto body = encode_wire(*part);
+    control_bytes_ += body.size();
+    client_.send(
+        http_call{*address, "POST", "/peer/part", {}, body, peer_timeout, true},
+        {{},
+         {},
+         [this, id, transfer = part->transfer](const auto& result,
+                                               auto response) {
+           on_part_sent(id, transfer, result, response);
+         }});
+  }
+
+  auto on_part_sent(replica_id id, std::int64_t transfer,
+                    const call_result& result, std::string_view response)
+      -> void {
+    const auto* completed = std::get_if<call_completed>(&result);
+    const auto reply = completed != nullptr && completed->status == 200
+                           ? decode_wire<wire::part_reply>(response)
+                           : std::nullopt;
+    auto& sender = part_senders_.at(id);
+    const auto outcome =
+        reply ? sender.on_reply(transfer, *reply) : sender.on_failure(transfer);
+    if (outcome == part_outcome::continued) send_part(id);
+    if (outcome == part_outcome::given_up)
+      log_event(log_level::warning, "transfer.given_up",
+                {{"peer", ipv4_text(id)}, {"transfer", transfer}});
+  }
+
+  auto tick_transfers(instant now) -> void {
+    part_assembler_.drop_idle(now);
+    for (const auto& [id, sender] : part_senders_)
+      send_part(id);
+  }
+
   // --- replication -------------------------------------------------------
 
   auto tick() -> void {
     const auto now = boottime_clock::now();
     observe_tick_delay(now);
     replica_.tick(now);
+    tick_transfers(now);
     handle_role_change(now);
     if (is_active_leader()) run_leader_tasks(now);
     if (gateway_) {
@@ -435,7 +487,12 @@
   }
 
   auto send_batch(replica_id to, const wire::message_batch& batch) -> void {
-    post_to(to, "/peer", encode_wire(batch));
+    const auto body = encode_wire(batch);
+    if (body.size() <= max_part_bytes) return post_to(to, "/peer", body);
+    const auto [bulk, small] = divide_batch(batch);
+    if (!small.messages.empty()) post_to(to, "/peer", encode_wire(small));
+    if (!bulk.messages.empty())
+      post_to(to, "/peer", encode_wire(bulk), batch_key(bulk));
   }
 
   // --- membership --------------------------------------------------------
@@ -502,7 +559,11 @@
     const auto share = decode_body<wire::directory_share>(call);
     if (!share) return;
     call->reply(200, {}, "");
-    if (gateway_) gateway_->handle_directory_share(*share);
+    receive_share(*share);
+  }
+
+  auto receive_share(const wire::directory_share& share) -> void {
+    if (gateway_) gateway_->handle_directory_share(share);
   }
 
   // --- requests ----------------------------------------------------------
@@ -511,6 +572,7 @@
     const auto& path = call->request().path;
     const auto post = call->request().method == "POST";
     if (post && path == "/peer") return handle_messages(call);
+    if (post && path == "/peer/part") return handle_part(call);
     if (post && path == "/peer/join") return handle_join(call);
     if (post && path == "/peer/directory") return handle_directory(call);
     if (post && path == "/control/renew") return handle_renewal(call);
@@ -552,7 +614,31 @@
     auto batch = decode_body<wire::message_batch>(call);
     if (!batch) return;
     call->reply(200, {}, "");
-    for (auto& message : batch->messages) {
+    receive_batch(std::move(*batch));
+  }
+
+  auto handle_part(const exchange_ptr& call) -> void {
+    const auto part = decode_body<wire::message_part>(call);
+    if (!part) return;
+    const auto result = part_assembler_.receive(*part, boottime_clock::now());
+    wire_reply(call, result.reply);
+    if (result.message) receive_transfer(*result.message);
+  }
+
+  auto receive_transfer(const peer_message& message) -> void {
+    if (message.path == "/peer/directory") {
+      if (const auto share = decode_wire<wire::directory_share>(message.bytes))
+        return receive_share(*share);
+    } else if (message.path == "/peer") {
+      if (auto batch = decode_wire<wire::message_batch>(message.bytes))
+        return receive_batch(std::move(*batch));
+    }
+    log_event(log_level::warning, "transfer.refused",
+              {{"path", message.path}, {"bytes", message.bytes.size()}});
+  }
+
+  auto receive_batch(wire::message_batch batch) -> void {
+    for (auto& message : batch.messages) {
       auto decoded = from_wire(std::move(message));
       if (decoded && decoded->to == id_)
         replica_.receive(*decoded, boottime_clock::now());
@@ -865,6 +951,8 @@
   std::vector<pending_patch> pending_patches_;
   std::set<std::string> holders_in_abandonment_;
   std::map<replica_id, std::size_t> in_flight_;
+  std::map<replica_id, part_sender> part_senders_;
+  part_assembler part_assembler_;
   std::uint64_t snapshot_bytes_ = 0;
   std::uint64_t renewals_ = 0;
   std::uint64_t control_bytes_ = 0;
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -216,5 +216,7 @@
 POLLENLOFT_WIRE_MESSAGE(endpoint_record)
 POLLENLOFT_WIRE_MESSAGE(join_request)
 POLLENLOFT_WIRE_MESSAGE(saved_directory)
+POLLENLOFT_WIRE_MESSAGE(message_part)
+POLLENLOFT_WIRE_MESSAGE(part_reply)
 
 }  // namespace pollenloft
--- a/support/pollenloft.thrift
+++ b/support/pollenloft.thrift
@@ -126,3 +126,14 @@
 
 // A control VM that is not a member asks to become one.
 struct join_request { 1: i32 id }
+
+// A part of a message between control replicas that is too large for one call.
+// `path` is that of the complete message, `total` its size and `digest` its
+// hash.
+struct message_part {
+  1: i32 sender, 2: i64 transfer, 3: string path, 4: i64 offset, 5: i64 total,
+  6: i64 digest, 7: binary bytes
+}
+// `received` counts the bytes held from the start of the message. A transfer
+// that is not known starts over, a refused one ends.
+struct part_reply { 1: bool known, 2: i64 received, 3: bool refused }
