Keep the heartbeat when entries are sent again

Entries sent again took the place of that interval's heartbeat, so on a slow link a follower heard nothing for two intervals and more.

Test, red before the change: resent_entries_do_not_replace_a_heartbeat: assertion failed - Expression: heartbeat_to(2).entries.empty()

--- a/src/replica.cpp
+++ b/src/replica.cpp
@@ -297,11 +297,14 @@
 }
 
 /// Sends what the peer lacks, or only a heartbeat while the peer may still
-/// acknowledge what is in flight.
+/// acknowledge what is in flight. Entries may take longer than a heartbeat, so
+/// they do not replace one when they are sent again.
 auto replica::send_append(replica_id to, instant now) -> void {
   auto& peer = progress_[to];
-  if (peer.in_flight != 0 && now - peer.sent_at < options_.resend_after)
-    return send_heartbeat(to);
+  if (peer.in_flight != 0) {
+    send_heartbeat(to);
+    if (now - peer.sent_at < options_.resend_after) return;
+  }
   peer.sent_at = now;
   if (peer.next <= snapshot_.index) return send_snapshot(to);
   send_entries(to);
--- a/test/replica_test.cpp
+++ b/test/replica_test.cpp
@@ -382,6 +382,7 @@
   CPPUNIT_TEST(heartbeat_reply_does_not_end_the_flight_of_entries);
   CPPUNIT_TEST(snapshot_in_flight_does_not_silence_heartbeats);
   CPPUNIT_TEST(lost_entries_are_sent_again);
+  CPPUNIT_TEST(resent_entries_do_not_replace_a_heartbeat);
   CPPUNIT_TEST(mismatch_is_repaired_at_once);
   CPPUNIT_TEST(late_mismatch_does_not_send_entries_again);
   CPPUNIT_TEST(followers_learn_of_a_commit_before_the_next_heartbeat);
@@ -637,6 +638,8 @@
   }
 
   std::unique_ptr<replica> node_;
+  std::size_t sent_with_heartbeat_ = 0;
+  std::uint64_t round_ = 0;
   instant now_{std::chrono::seconds(50)};
 
   auto fuzz_three() -> void {
@@ -797,7 +800,10 @@
   auto heartbeat_to(replica_id to) -> append_request {
     now_ += milliseconds(100);
     node_->tick(now_);
-    return appends_to(to, node_->take_effects()).at(0);
+    const auto sent = appends_to(to, node_->take_effects());
+    sent_with_heartbeat_ = sent.size() - 1;
+    round_ = sent.at(0).round;
+    return sent[0];
   }
 
   auto heartbeat_reply_does_not_end_the_flight_of_entries() -> void {
@@ -857,6 +863,19 @@
       CPPUNIT_ASSERT_EQUAL(std::string("entry"), cluster.at(i).applied.back());
   }
 
+  auto resent_entries_do_not_replace_a_heartbeat() -> void {
+    make_leader();
+    node_->propose({"entry"}, now_);
+    node_->take_effects();
+    std::size_t resent = 0;
+    for (int i = 0; i < 12; ++i) {
+      CPPUNIT_ASSERT(heartbeat_to(2).entries.empty());
+      receive(3, 2, append_reply{true, 3, round_});
+      resent += sent_with_heartbeat_;
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, resent);
+  }
+
   auto mismatch_is_repaired_at_once() -> void {
     make_leader();
     node_->propose({"entry"}, now_);
