Continue a begun transfer after its version or base is no longer kept

A control VM keeps the latest 8 versions. With a change every 0.3 s a version was dropped 2.4 s after its acknowledgement; a VM that still fetched it was sent another frame from the first byte, and might never complete one. A begun frame is now found by its digest and stays in the cache while it is used.

Red before, state_transfer_test: versions_evicted_during_a_transfer_do_not_restart_it (frame_bytes=1462116 received_bytes=6488064) and base_evicted_during_a_transfer_does_not_restart_it (offset 0, not 32768).

--- a/src/state_transfer.cpp
+++ b/src/state_transfer.cpp
@@ -40,13 +40,20 @@
   return found == versions_.end() ? nullptr : &*found;
 }
 
+template <class Predicate>
+auto state_catalog::use_frame(Predicate matches) -> const frame* {
+  const auto found = std::find_if(frames_.begin(), frames_.end(), matches);
+  if (found == frames_.end()) return nullptr;
+  std::rotate(found, found + 1, frames_.end());
+  return &frames_.back();
+}
+
 auto state_catalog::frame_of(const state_version& target, std::int64_t base)
     -> const frame& {
-  const auto found =
-      std::find_if(frames_.begin(), frames_.end(), [&](const auto& known) {
-        return known.version == target.version && known.base == base;
-      });
-  if (found != frames_.end()) return *found;
+  const auto* known = use_frame([&](const auto& frame) {
+    return frame.version == target.version && frame.base == base;
+  });
+  if (known != nullptr) return *known;
   const auto* base_version = find(base);
   auto bytes = encode_delta(target.text,
                             base_version != nullptr ? base_version->text : "");
@@ -58,17 +65,29 @@
   return frames_.back();
 }
 
-auto state_catalog::part(const wire::state_request& request)
-    -> std::optional<wire::state_part> {
-  if (versions_.empty() || request.version > newest())
-    return fail("state.part", std::to_string(request.version),
-                "the version is not known yet");
+/// A frame that the receiver has begun is continued, whether or not its version
+/// and its base are still kept.
+auto state_catalog::frame_for(const wire::state_request& request)
+    -> const frame& {
+  const auto* begun = use_frame([&](const auto& frame) {
+    return request.offset > 0 &&
+           static_cast<std::int64_t>(frame.digest) == request.digest;
+  });
+  if (begun != nullptr) return *begun;
   const auto* target = find(request.version);
   if (target == nullptr) target = &versions_.back();
   const auto* base = find(request.base);
   const auto usable = base != nullptr && base->version < target->version &&
                       digest_of(base->text) == request.base_digest;
-  const auto& frame = frame_of(*target, usable ? request.base : 0);
+  return frame_of(*target, usable ? request.base : 0);
+}
+
+auto state_catalog::part(const wire::state_request& request)
+    -> std::optional<wire::state_part> {
+  if (versions_.empty() || request.version > newest())
+    return fail("state.part", std::to_string(request.version),
+                "the version is not known yet");
+  const auto& frame = frame_for(request);
   wire::state_part part;
   part.version = frame.version;
   part.base = frame.base;
--- a/src/state_transfer.hpp
+++ b/src/state_transfer.hpp
@@ -65,11 +65,16 @@
   };
 
   auto find(std::int64_t version) const -> const state_version*;
+  /// Marks the frame that fulfils `matches` as used last; null if there is
+  /// none.
+  template <class Predicate>
+  auto use_frame(Predicate matches) -> const frame*;
+  auto frame_for(const wire::state_request& request) -> const frame&;
   auto frame_of(const state_version& target, std::int64_t base) -> const frame&;
 
   catalog_limits limits_;
   std::deque<state_version> versions_;  // oldest first
-  std::deque<frame> frames_;            // oldest first
+  std::deque<frame> frames_;            // least recently used first
   std::uint64_t encoded_frames_ = 0;
 };
 
