--- a/test/control_client_test.cpp
+++ b/test/control_client_test.cpp
@@ -29,6 +29,7 @@
   }
 
   state_catalog documents;
+  state_catalog configurations;
   duration part_delay{};
   int ignored_parts = 0;  ///< requests for parts left without a reply
   int renewals = 0;
@@ -44,6 +45,7 @@
     reply.lease_ms = 1500;
     reply.term = 1;
     reply.document = documents.newest();
+    reply.version = configurations.newest();
     reply_after(call, milliseconds(20), encode_wire(reply));
   }
 
@@ -55,7 +57,9 @@
     }
     ++parts;
     const auto request = decode_wire<wire::state_request>(call->request().body);
-    const auto part = documents.part(*request);
+    const auto is_document =
+        request->kind == static_cast<std::int8_t>(state_kind::document);
+    const auto part = (is_document ? documents : configurations).part(*request);
     reply_after(call, part_delay,
                 encode_wire(part ? *part : wire::state_part{}));
   }
@@ -81,6 +85,8 @@
   CPPUNIT_TEST(document_arrives_while_newer_ones_are_accepted);
   CPPUNIT_TEST(document_arrives_from_another_replica);
   CPPUNIT_TEST(document_is_outdated_until_the_newer_one_arrives);
+  CPPUNIT_TEST(unreadable_configuration_is_not_fetched_without_pause);
+  CPPUNIT_TEST(document_stays_fresh_if_changes_outpace_transfers);
   CPPUNIT_TEST_SUITE_END();
 
   event_loop loop_;
@@ -174,6 +180,30 @@
     CPPUNIT_ASSERT(run_until_document(2, std::chrono::seconds(2)));
     CPPUNIT_ASSERT(!control_->document_outdated());
   }
+
+  /// The document held is never older than about 0.3 s.
+  auto document_stays_fresh_if_changes_outpace_transfers() -> void {
+    for (const auto& replica : replicas_)
+      replica->part_delay = milliseconds(150);
+    std::int64_t newest = 1;
+    publish(newest, "1");
+    const auto changes = loop_.every(milliseconds(100), [&] {
+      ++newest;
+      publish(newest, std::to_string(newest));
+    });
+    control_->start();
+    run_for(std::chrono::seconds(6));
+    CPPUNIT_ASSERT_LESS(std::int64_t{8}, newest - control_->document().number);
+    CPPUNIT_ASSERT(control_->document_fresh());
+  }
+
+  auto unreadable_configuration_is_not_fetched_without_pause() -> void {
+    for (const auto& replica : replicas_)
+      replica->configurations.publish(1, "unreadable");
+    control_->start();
+    run_for(milliseconds(1000));
+    CPPUNIT_ASSERT_LESS(100, replicas_[0]->parts + replicas_[1]->parts);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(control_client_test);
--- a/test/front_server_test.cpp
+++ b/test/front_server_test.cpp
@@ -60,6 +60,7 @@
   bool leads = false;
   std::int64_t document = 1;
   bool withholds_text = false;  // names its document without sending it
+  std::string text;             // instead of that of its document
 
  private:
   auto reply_to(const exchange_ptr& call) -> void {
@@ -73,7 +74,8 @@
     reply.document = document;
     if (!withholds_text)
       reply.document_text =
-          make_document(document, document > 1 ? "new" : "old");
+          text.empty() ? make_document(document, document > 1 ? "new" : "old")
+                       : text;
     if (!endpoint_sent_) reply.endpoints = {endpoint()};
     reply.directory_sequence = 1;
     endpoint_sent_ = true;
@@ -145,6 +147,7 @@
   CPPUNIT_TEST(disconnected_caller_keeps_its_place);
   CPPUNIT_TEST(deferred_request_is_lost_at_shutdown);
   CPPUNIT_TEST(request_is_accepted_after_open_requests_were_ended);
+  CPPUNIT_TEST(unreadable_document_does_not_confirm_the_one_before);
   CPPUNIT_TEST_SUITE_END();
 
   event_loop loop_;
@@ -322,6 +325,20 @@
     CPPUNIT_ASSERT_EQUAL(200, send("/new/1").status);
   }
 
+  /// Of the documents that this VM can read, the newest may contain keys that
+  /// were taken away since.
+  auto unreadable_document_does_not_confirm_the_one_before() -> void {
+    receive_document();
+    CPPUNIT_ASSERT_EQUAL(200, send_with_key("old").status);
+    leader_->text = "{}";
+    leader_->document = 2;
+    wait(std::chrono::seconds(6));
+    const auto route = send("/new/1").status;
+    const auto key = send_with_key("old").status;
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("a key of document 1 after 6 s", 503, key);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("a route of document 2", 503, route);
+  }
+
   auto unknown_route_is_answered_404_without_a_leader() -> void {
     receive_document_and_lose_leader();
     check_refused_to_come_back(send("/absent"));
--- a/test/replica_test.cpp
+++ b/test/replica_test.cpp
@@ -383,6 +383,7 @@
   CPPUNIT_TEST(snapshot_in_flight_does_not_silence_heartbeats);
   CPPUNIT_TEST(lost_entries_are_sent_again);
   CPPUNIT_TEST(resent_entries_do_not_replace_a_heartbeat);
+  CPPUNIT_TEST(one_lost_message_does_not_stop_commits);
   CPPUNIT_TEST(mismatch_is_repaired_at_once);
   CPPUNIT_TEST(late_mismatch_does_not_send_entries_again);
   CPPUNIT_TEST(followers_learn_of_a_commit_before_the_next_heartbeat);
@@ -876,6 +877,27 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, resent);
   }
 
+  /// One of three replicas is down and one message to the other one is lost.
+  auto one_lost_message_does_not_stop_commits() -> void {
+    fake_cluster cluster(3);
+    cluster.run_for(milliseconds(1500));
+    const auto leader = *cluster.leader();
+    cluster.crash((leader + 1) % 3);
+    cluster.run_for(milliseconds(1000));
+    const auto start = cluster.now;
+    cluster.propose(leader, "lost");
+    cluster.network.clear();
+    const auto& committed = cluster.committed;
+    while (std::count(committed.begin(), committed.end(), "lost") == 0 &&
+           cluster.now - start < std::chrono::seconds(3))
+      cluster.run_for(milliseconds(10));
+    const auto elapsed =
+        std::chrono::duration_cast<milliseconds>(cluster.now - start).count();
+    CPPUNIT_ASSERT_MESSAGE(
+        "ms until the lost entry commits: " + std::to_string(elapsed),
+        elapsed < 300);
+  }
+
   auto mismatch_is_repaired_at_once() -> void {
     make_leader();
     node_->propose({"entry"}, now_);
--- a/test/state_transfer_test.cpp
+++ b/test/state_transfer_test.cpp
@@ -32,6 +32,9 @@
   CPPUNIT_TEST(corrupt_frame_is_fetched_again_without_a_base);
   CPPUNIT_TEST(version_that_is_not_known_yet_has_no_part);
   CPPUNIT_TEST(kept_versions_are_bounded);
+  CPPUNIT_TEST(versions_evicted_during_a_transfer_do_not_restart_it);
+  CPPUNIT_TEST(base_evicted_during_a_transfer_does_not_restart_it);
+  CPPUNIT_TEST(transfer_of_a_version_no_newer_than_the_held_one_is_dropped);
   CPPUNIT_TEST(fuzz_malformed_parts);
   CPPUNIT_TEST_SUITE_END();
 
@@ -164,6 +167,52 @@
                          catalog.part(request_for(9))->version);
   }
 
+  /// Two parts arrive between two changes.
+  auto versions_evicted_during_a_transfer_do_not_restart_it() -> void {
+    const auto text = random_text(3000000, 1);
+    state_catalog catalog;
+    catalog.publish(1, text);
+    const auto frame_bytes = catalog.part(request_for(1))->total;
+    auto completed = false;
+    for (std::int64_t newest = 1; newest < 100 && !completed; ++newest) {
+      catalog.publish(newest, text + std::to_string(newest));
+      for (int i = 0; i < 2 && !completed; ++i)
+        completed = exchange_part(catalog, newest);
+    }
+    const auto message = "frame_bytes=" + std::to_string(frame_bytes) +
+                         " received_bytes=" + std::to_string(received_bytes_);
+    CPPUNIT_ASSERT_MESSAGE(message, completed);
+  }
+
+  /// The frame relative to version 1 is still cached when version 1 is evicted.
+  auto base_evicted_during_a_transfer_does_not_restart_it() -> void {
+    state_catalog catalog;
+    catalog.publish(1, random_text(300000, 1));
+    while (!exchange_part(catalog, 1)) {
+    }
+    catalog.publish(2, random_text(300000, 1) + random_text(300000, 2));
+    CPPUNIT_ASSERT(!exchange_part(catalog, 2));
+    const auto begun = assembly_.next_request(state_kind::document, 2, held_);
+    for (std::int64_t version = 3; version <= 9; ++version)
+      catalog.publish(version, random_text(300000, 1));
+    const auto part = catalog.part(begun);
+    CPPUNIT_ASSERT_EQUAL(begun.offset, part->offset);
+    CPPUNIT_ASSERT_EQUAL(begun.digest, part->digest);
+  }
+
+  /// The held version advances by a reply that carries the text whole.
+  auto transfer_of_a_version_no_newer_than_the_held_one_is_dropped() -> void {
+    state_catalog catalog;
+    catalog.publish(2, random_text(300000, 2));
+    CPPUNIT_ASSERT(!exchange_part(catalog, 2));
+    catalog.publish(3, "three");
+    held_ = {3, "three"};
+    catalog.publish(4, "four");
+    for (int i = 0; i < 100 && held_.version != 4; ++i)
+      exchange_part(catalog, 4);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{4}, held_.version);
+  }
+
   auto fuzz_malformed_parts() -> void {
     check_property("malformed parts", [](std::vector<std::uint32_t> codes) {
       state_transfer_test test;
