Do not continue a transfer that the held version has overtaken

After the held text had advanced by another way, the transfer in progress was requested on and on without a pause, and newer versions were never fetched.

--- a/src/state_transfer.cpp
+++ b/src/state_transfer.cpp
@@ -108,11 +108,13 @@
     -> wire::state_request {
   wire::state_request request;
   request.kind = static_cast<std::int8_t>(kind);
-  // A transfer that has begun is finished first: a receiver that started over
-  // with each newer version might never complete one.
-  request.version = version_ != 0 ? version_ : wanted;
+  request.version = wanted;
   request.base = base_refused_ ? 0 : held.version;
   request.base_digest = digest_of(held.text);
+  if (version_ <= held.version) return request;
+  // A transfer that has begun is finished first: a receiver that started over
+  // with each newer version might never complete one.
+  request.version = version_;
   request.digest = digest_;
   request.offset = static_cast<std::int64_t>(bytes_.size());
   return request;
