Confirm a document by the time at which it was the newest

A document was only confirmed if no newer one had been announced. While changes came faster than transfers, a VM that held a document a moment old was never confirmed: after 4 s it was not ready and refused all requests with a key. The times of the announcements are kept now; adopting a document confirms it by the renewal that announced it.

Red before, control_client_test: document_stays_fresh_if_changes_outpace_transfers.

--- a/src/control_client.cpp
+++ b/src/control_client.cpp
@@ -13,6 +13,8 @@
 constexpr auto retry_delay = milliseconds(30);
 /// Between renewals while the configuration is being fetched.
 constexpr auto transfer_poll_delay = milliseconds(100);
+/// Documents announced and not yet received whose times are kept.
+constexpr std::size_t max_announcements = 64;
 constexpr auto report_timeout = std::chrono::seconds(10);
 constexpr auto settle_timeout = std::chrono::seconds(30);
 /// Shortens the lease by 1/50 (2%) to allow for clock drift.
@@ -211,22 +213,20 @@
                {"leader_number", reply.document}});
     return false;
   }
-  newest_document_announced_ = sent;
+  record_announcement(reply.document, sent);
   if (reply.document > document_.number && !reply.document_text.empty())
     replace_document({{reply.document, reply.document_text},
                       reply.document_text.size(),
                       0,
                       boottime_clock::now() - sent});
-  if (document_outdated())
-    document_fetcher_.fetch(newest_document_);
-  else
-    confirm_document(sent);
+  if (document_outdated()) document_fetcher_.fetch(newest_document_);
+  confirm_document();
   return true;
 }
 
 auto control_client::apply_fetched_document(fetched_state fetched) -> void {
   replace_document(std::move(fetched));
-  if (!document_outdated()) confirm_document(newest_document_announced_);
+  confirm_document();
 }
 
 auto control_client::replace_document(fetched_state fetched) -> void {
@@ -242,9 +242,25 @@
              {"apply_ms", elapsed_ms(received)}});
 }
 
-auto control_client::confirm_document(instant at) -> void {
-  document_confirmed_at_ = at;
-  document_confirmed.emit();
+auto control_client::record_announcement(std::int64_t number, instant sent)
+    -> void {
+  if (!announcements_.empty() && announcements_.back().number == number)
+    announcements_.pop_back();
+  announcements_.push_back({number, sent});
+  if (announcements_.size() > max_announcements) announcements_.pop_front();
+}
+
+/// Documents newer than an announced one were accepted after the renewal that
+/// announced it was sent.
+auto control_client::confirm_document() -> void {
+  auto confirmed = false;
+  while (!announcements_.empty() &&
+         announcements_.front().number <= document_.number) {
+    document_confirmed_at_ = announcements_.front().sent;
+    announcements_.pop_front();
+    confirmed = true;
+  }
+  if (confirmed) document_confirmed.emit();
 }
 
 /// Applies the newer configuration versions; false if they do not follow the
--- a/src/control_client.hpp
+++ b/src/control_client.hpp
@@ -5,6 +5,7 @@
 #ifndef POLLENLOFT_CONTROL_CLIENT_HPP
 #define POLLENLOFT_CONTROL_CLIENT_HPP
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <string>
@@ -120,7 +121,9 @@
   auto apply_fetched_document(fetched_state fetched) -> void;
   auto apply_fetched_config(const fetched_state& fetched) -> void;
   auto replace_document(fetched_state fetched) -> void;
-  auto confirm_document(instant at) -> void;
+  auto record_announcement(std::int64_t number, instant sent) -> void;
+  /// Sets when the document held was last known to be the newest.
+  auto confirm_document() -> void;
   auto add_reported_replicas(const wire::renew_reply& reply) -> void;
   auto select_leader(const std::string& leader) -> void;
   auto select_next_replica() -> void;
@@ -137,8 +140,12 @@
   configuration config_;
   numbered_document document_;
   std::optional<instant> document_confirmed_at_;
-  std::int64_t newest_document_ = 0;     // number last announced by a leader
-  instant newest_document_announced_{};  // when that renewal was sent
+  std::int64_t newest_document_ = 0;  // number last announced by a leader
+  struct announcement {
+    std::int64_t number;  // of the newest document
+    instant sent;         // when the renewal was sent
+  };
+  std::deque<announcement> announcements_;  // oldest first
   state_fetcher document_fetcher_;
   state_fetcher config_fetcher_;
   bool has_config_ = false;
