Accept keys only by a document that this VM could read

A document that could not be decoded left the one before in use, and the confirmation of the newer number counted for it: a key taken away worked on (200 after 6 s, allowed are 5), and routes were denied from the old table.

--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -83,7 +83,7 @@
 }
 
 auto front_server::ready() const -> bool {
-  return !draining_ && route_table_ && control_.document_fresh();
+  return !draining_ && document_fresh();
 }
 
 auto front_server::handle_readiness(const exchange_ptr& call) -> void {
@@ -124,10 +124,20 @@
       .count();
 }
 
+/// A document that this VM cannot read leaves the one before in use.
+auto front_server::newest_document_in_use() const -> bool {
+  return route_table_ &&
+         route_table_->config().number == control_.document().number;
+}
+
+auto front_server::document_fresh() const -> bool {
+  return newest_document_in_use() && control_.document_fresh();
+}
+
 auto front_server::document_current() const -> bool {
   const auto max_negative_age =
       options_.document_apply_time / negative_age_divisor;
-  return route_table_ && !control_.document_outdated() &&
+  return newest_document_in_use() && !control_.document_outdated() &&
          control_.document_age() <= max_negative_age;
 }
 
@@ -196,7 +206,7 @@
   const auto& config = route_table_->config();
   params.priority = params.route->priority;
   if (config.has_accounts && !params.route->is_public) {
-    if (!control_.document_fresh())
+    if (!document_fresh())
       return refuse(call, 503, "This VM may not know the newest keys.");
     const auto* account = route_table_->account_of(params.headers.api_key);
     if (account == nullptr)
@@ -370,7 +380,7 @@
     -> bool {
   const auto& params = request.parameters();
   if (params.account.empty()) return true;
-  return control_.document_fresh() &&
+  return document_fresh() &&
          route_table_->account_of(params.headers.api_key) != nullptr;
 }
 
--- a/src/front_server.hpp
+++ b/src/front_server.hpp
@@ -66,6 +66,9 @@
              const std::string& reason) -> void;
   auto resume_deferred() -> void;
   auto handle_confirmation() -> void;
+  auto newest_document_in_use() const -> bool;
+  /// Whether keys may be accepted by the document in use.
+  auto document_fresh() const -> bool;
   /// Whether the document is known to be the newest.
   auto document_current() const -> bool;
   /// Age of the document in milliseconds for the log; -1 if there is none.
