Send small entries again after two answered heartbeats

Entries in flight are sent again after 600 ms. Small entries are as fast as a heartbeat, so answers to two later heartbeats mean that they were lost.

The bound of one copy stays.

Red before, replica_test: one_lost_message_does_not_stop_commits (660 ms). Found by the review.

--- a/include/pollenloft/replica.hpp
+++ b/include/pollenloft/replica.hpp
@@ -136,6 +136,9 @@
   /// Entries and snapshots that are not acknowledged for this time are sent
   /// again.
   duration resend_after = milliseconds(600);
+  /// Entries up to this size are as fast as a heartbeat, so they are also sent
+  /// again once a peer has replied to a heartbeat two rounds later.
+  std::size_t max_small_append_bytes = 16 * 1024;
   std::uint64_t seed = 1;
 };
 
@@ -212,8 +215,10 @@
     std::uint64_t acked_round = 0;
     instant sent_at{};  // of the entries or the snapshot in flight
     std::optional<instant> last_reply_at;
-    log_index in_flight = 0;    // last index in flight, 0 if there is none
-    log_index sent_commit = 0;  // as far as the peer could apply it
+    log_index in_flight = 0;       // last index in flight, 0 if there is none
+    log_index sent_commit = 0;     // as far as the peer could apply it
+    std::uint64_t sent_round = 0;  // of what is in flight
+    std::size_t in_flight_bytes = 0;
   };
 
   auto term_at(log_index index) const -> log_term;
@@ -236,6 +241,7 @@
   auto send_snapshot(replica_id to) -> void;
   auto send_entries(replica_id to) -> void;
   auto send_heartbeat(replica_id to) -> void;
+  auto entries_seem_lost(replica_id id) const -> bool;
   auto send_new_commit_index() -> void;
   auto send_append_request(replica_id to, append_request request) -> void;
   auto make_append(log_index prev_index) const -> append_request;
--- a/src/replica.cpp
+++ b/src/replica.cpp
@@ -326,9 +326,19 @@
     request.entries.push_back(*entry);
   }
   peer.in_flight = request.entries.empty() ? 0 : request.entries.back().index;
+  peer.in_flight_bytes = bytes;
+  peer.sent_round = round_;
   send_append_request(to, std::move(request));
 }
 
+auto replica::entries_seem_lost(replica_id id) const -> bool {
+  constexpr std::uint64_t later_rounds = 2;
+  const auto& peer = progress_.at(id);
+  return peer.in_flight > snapshot_.index &&
+         peer.in_flight_bytes <= options_.max_small_append_bytes &&
+         peer.acked_round >= peer.sent_round + later_rounds;
+}
+
 /// The previous index is one that the peer holds, so the heartbeat matches even
 /// if it arrives before the entries in flight.
 auto replica::send_heartbeat(replica_id to) -> void {
@@ -507,7 +517,8 @@
   }
   peer.match = std::max(peer.match, reply.index);
   peer.next = std::max(peer.next, peer.match + 1);
-  if (reply.index >= peer.in_flight) peer.in_flight = 0;
+  if (reply.index >= peer.in_flight || entries_seem_lost(message.from))
+    peer.in_flight = 0;
   advance_commit();
   if (peer.in_flight == 0 && peer.next <= last_index())
     send_append(message.from, now);
