Send the end of a request's body without waiting for acknowledgements

libevent writes a body in blocks of 16 KiB, and Nagle's algorithm held the last segment back until the receiver's delayed acknowledgement: 40 ms for each call with a part of 32 KiB.

Test, red before the change (2.5 s for 50 calls): last_segment_of_a_body_does_not_wait_for_acknowledgements: assertion failed - Expression: boottime_clock::now() - start < std::chrono::seconds(1)

--- a/src/net.cpp
+++ b/src/net.cpp
@@ -6,6 +6,7 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <signal.h>
 #include <strings.h>
 #include <sys/socket.h>
@@ -440,6 +441,15 @@
     if (on_done) on_done(result, body);
   }
 
+  /// Nagle's algorithm would hold the end of a body back until the peer has
+  /// acknowledged the rest, which takes up to 40 ms.
+  auto disable_nagle() const -> void {
+    auto* stream = evhttp_connection_get_bufferevent(connection);
+    const int on = 1;
+    setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &on,
+               sizeof on);
+  }
+
   auto connected() const -> bool {
     auto* stream = evhttp_connection_get_bufferevent(connection);
     sockaddr_in remote{};
@@ -623,6 +633,7 @@
         call.connect_timeout, [raw] { raw->on_connect_timeout(); });
   evhttp_make_request(state->connection, handle, method_code(call.method),
                       call.target.c_str());
+  state->disable_nagle();
   return std::make_shared<pending_call>(state);
 }
 
--- a/test/net_test.cpp
+++ b/test/net_test.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(error_body_of_a_stream_reaches_the_done_callback);
   CPPUNIT_TEST(exchange_reports_that_the_caller_disconnected);
   CPPUNIT_TEST(call_that_times_out_is_interrupted);
+  CPPUNIT_TEST(last_segment_of_a_body_does_not_wait_for_acknowledgements);
   CPPUNIT_TEST(too_many_header_fields_are_rejected);
   CPPUNIT_TEST(events_of_another_dispatch_are_dropped);
   CPPUNIT_TEST(invalid_announcements_are_rejected);
@@ -167,6 +168,22 @@
     open_exchange_.reset();
   }
 
+  auto last_segment_of_a_body_does_not_wait_for_acknowledgements() -> void {
+    serve([](const exchange_ptr& exchange) { exchange->reply(200, {}, ""); });
+    http_client client(loop_);
+    http_call request{server_address, "POST", "/x"};
+    request.body = std::string(33000, 'x');
+    request.keep_alive = true;
+    const auto start = boottime_clock::now();
+    for (int i = 0; i < 50; ++i) {
+      client.send(request,
+                  {{}, {}, [this](const auto&, auto) { loop_.stop(); }});
+      run();
+    }
+    CPPUNIT_ASSERT(boottime_clock::now() - start < std::chrono::seconds(1));
+    CPPUNIT_ASSERT_EQUAL(50, handled_requests_);
+  }
+
   auto too_many_header_fields_are_rejected() -> void {
     serve([](const exchange_ptr& exchange) { exchange->reply(200, {}, ""); });
     http_client client(loop_);
