Keep rate limits of heavy accounts at or above their fair share

Callers of the one large client account got 502 or 503 "the deadline has passed" after 10 s (check-leaving beside busy loops), while endpoints were free: 0 to 2 requests dispatched on most VMs, up to 49 queued on one VM, the stand-in at 500 to 1200 tokens/s and 3 to 8% of a core for 4 s.

Cause: limit_heavy_accounts lowered the limit by a tenth of the smaller of limit and used rate every 100 ms as long as one small account had a request queued on any VM, down to 50 tokens/s on each VM, although the account used up to 970 tokens/s there. Once no small account waited, the limit grew by 5% per 100 ms from 50, so the backlog waited with free slots. The account's fair share (4 of 13 by weight) was about 190 to 360 tokens/s on each VM.

The stand-in is slowed too (runnable but waiting 30 to 60% of the time), but it was nearly idle while the queues stood.

Change: a limit is never lowered below, and is raised at once to, the account's fair share of the current throughput divided by the VMs.

--- a/include/pollenloft/admission.hpp
+++ b/include/pollenloft/admission.hpp
@@ -61,6 +61,20 @@
     -> std::vector<account_load>;
 /// Whether an account with queued requests is below its weighted fair share.
 auto any_account_below_share(const std::vector<account_load>& loads) -> bool;
+/// Weighted fair share of an account in the total throughput, in tokens/s.
+auto fair_share_of(const std::vector<account_load>& loads, double weight)
+    -> double;
+
+/// Rates of an account on one VM, in tokens/s.
+struct account_rates {
+  double limit = 0;  ///< 0 if it is not limited
+  double used = 0;
+  double fair_share = 0;
+};
+/// The limit while accounts below their share wait; never below the share.
+auto lowered_rate_limit(const account_rates& rates) -> double;
+/// The limit while none waits, 0 once the account stays far below it.
+auto raised_rate_limit(const account_rates& rates) -> double;
 
 /// The queue of one service:
 ///
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -12,6 +12,10 @@
 constexpr auto min_retry_after = milliseconds(50);
 constexpr auto max_retry_after = std::chrono::seconds(30);
 constexpr double rate_limit_burst_s = 0.5;
+// Factors by which rate limits are adjusted.
+constexpr double rate_limit_decrease = 0.9;
+constexpr double rate_limit_increase = 1.05;
+constexpr double min_rate_limit = 50;    // tokens per second
 constexpr double share_tolerance = 1.1;  // measured throughput fluctuates
 
 auto seconds(duration d) -> double {
@@ -49,6 +53,25 @@
   });
 }
 
+auto fair_share_of(const std::vector<account_load>& loads, double weight)
+    -> double {
+  return fair_share_of_unit_weight(loads) * weight;
+}
+
+auto lowered_rate_limit(const account_rates& rates) -> double {
+  const auto rate =
+      rates.limit > 0 ? std::min(rates.limit, rates.used) : rates.used;
+  return std::max(
+      {rate * rate_limit_decrease, rates.fair_share, min_rate_limit});
+}
+
+auto raised_rate_limit(const account_rates& rates) -> double {
+  if (rates.limit <= 0) return 0;
+  const auto limit =
+      std::max(rates.limit * rate_limit_increase, rates.fair_share);
+  return limit > 4 * rates.used + min_rate_limit ? 0 : limit;
+}
+
 auto fair_queue::rate_limit_of(const std::string& account) const -> double {
   const auto found = limits_.find(account);
   return found == limits_.end() ? 0 : found->second.rate;
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -21,12 +21,8 @@
 constexpr std::size_t max_reported_accounts = 8;
 constexpr double usage_window_s = 0.2;
 constexpr double usage_smoothing = 0.4;  // weight of the newest window
-// Rate limits of accounts above their fair share: adjusted once per period by
-// these factors.
+// Period of adjusting the rate limits of accounts above their fair share.
 constexpr auto rate_limit_period = milliseconds(100);
-constexpr double rate_limit_decrease = 0.9;
-constexpr double rate_limit_increase = 1.05;
-constexpr double min_rate_limit = 50;  // tokens per second
 // Share of the slots of each endpoint that accounts above their fair share
 // leave to the others.
 constexpr double small_account_slot_share = 0.15;
@@ -475,26 +471,24 @@
   for (const auto& load : above_share)
     accounts_above_share_.insert(load.account);
   if (!any_account_below_share(loads)) above_share.clear();
+  const auto vms =
+      static_cast<double>(std::max<std::size_t>(1, control_.vm_count()));
   for (auto& [service, queue] : queues_) {
+    const auto rates_of = [&, &limits = queue](const account_load& load) {
+      return account_rates{limits.rate_limit_of(load.account),
+                           usage_rate_[load.account],
+                           fair_share_of(loads, load.weight) / vms};
+    };
     std::set<std::string> limited;
     for (const auto& load : above_share) {
       limited.insert(load.account);
-      const auto limit = queue.rate_limit_of(load.account);
-      const auto used_rate = usage_rate_[load.account];
-      const auto lowered =
-          (limit > 0 ? std::min(limit, used_rate) : used_rate) *
-          rate_limit_decrease;
-      queue.set_rate_limit(load.account, std::max(lowered, min_rate_limit),
+      queue.set_rate_limit(load.account, lowered_rate_limit(rates_of(load)),
                            now);
     }
-    for (const auto& load : loads) {
-      if (limited.count(load.account) != 0) continue;
-      const auto limit =
-          queue.rate_limit_of(load.account) * rate_limit_increase;
-      const auto unneeded =
-          limit > 4 * usage_rate_[load.account] + min_rate_limit;
-      queue.set_rate_limit(load.account, unneeded ? 0 : limit, now);
-    }
+    for (const auto& load : loads)
+      if (limited.count(load.account) == 0)
+        queue.set_rate_limit(load.account, raised_rate_limit(rates_of(load)),
+                             now);
   }
 }
 
--- a/test/admission_test.cpp
+++ b/test/admission_test.cpp
@@ -14,6 +14,8 @@
   CPPUNIT_TEST(full_queue_evicts_from_the_longest);
   CPPUNIT_TEST(retry_times_are_jittered);
   CPPUNIT_TEST(rate_limit_throttles_an_account);
+  CPPUNIT_TEST(rate_limit_starves_a_heavy_account_below_its_share);
+  CPPUNIT_TEST(rate_limit_stays_below_the_share_after_others_are_served);
   CPPUNIT_TEST(removing_twice_has_no_effect);
   CPPUNIT_TEST(fuzz_conserves_requests);
   CPPUNIT_TEST_SUITE_END();
@@ -149,6 +151,25 @@
     CPPUNIT_ASSERT(queue.peek());
   }
 
+  auto rate_limit_starves_a_heavy_account_below_its_share() -> void {
+    const std::vector<account_load> loads{{"heavy", 4, 5600, 10000},
+                                          {"small", 9, 4800, 50}};
+    const auto share = fair_share_of(loads, 4);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(3200, share, 1);
+    // Completions that come late make the used rate fall.
+    auto limit = 0.0;
+    for (const auto used : {5600.0, 700.0, 0.0, 0.0, 900.0, 300.0, 0.0})
+      limit = lowered_rate_limit({limit, used, share});
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(share, limit, 1);
+  }
+
+  auto rate_limit_stays_below_the_share_after_others_are_served() -> void {
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(200, raised_rate_limit({50, 40, 200}), 1e-9);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(315, raised_rate_limit({300, 200, 200}), 1e-9);
+    CPPUNIT_ASSERT_EQUAL(0.0, raised_rate_limit({0, 40, 200}));
+    CPPUNIT_ASSERT_EQUAL(0.0, raised_rate_limit({1000, 40, 200}));
+  }
+
   auto removing_twice_has_no_effect() -> void {
     fair_queue queue({}, 1);
     queue.offer(request("a"), now_);
