--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "pollenloft/poison.hpp"
+
 namespace pollenloft {
 
 namespace {
@@ -443,7 +445,15 @@
 /// Ends an attempt that failed and may have run.
 auto caller_request::fail_attempt(const std::string& endpoint, bool crashed,
                                   const error& cause) -> void {
-  log_failure("attempt.failed", cause);
+  log_event(log_level::warning, "attempt.failed",
+            {{"id", dispatch_id_},
+             {"fingerprint", fingerprint_text(params_.fingerprint)},
+             {"attempt", lifecycle_.attempt()},
+             {"endpoint", endpoint},
+             {"crashed", crashed ? 1 : 0},
+             {"step", cause.step},
+             {"peer", cause.peer},
+             {"reason", cause.reason}});
   host_.metrics_registry().add("pollenloft_attempts_failed_total");
   failure_reason_ = "an endpoint failed while running the request";
   avoided_endpoints_.insert(endpoint);
@@ -456,6 +466,7 @@
                             : crash_points_before_first_token;
     if (host_.disabled_mechanism() != "blame")
       lifecycle_.add_crash_points(points);
+    host_.metrics_registry().add("pollenloft_crash_reports_total");
     host_.control().report_crash(params_.fingerprint, endpoint, points);
   }
   step(request_event::broken);
--- a/src/control_client.cpp
+++ b/src/control_client.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "pollenloft/poison.hpp"
 #include "pollenloft/telemetry.hpp"
 
 namespace pollenloft {
@@ -394,6 +395,11 @@
 auto control_client::report_crash(std::uint64_t fingerprint,
                                   const std::string& endpoint, int points)
     -> void {
+  log_event(log_level::warning, "crash.reported",
+            {{"fingerprint", fingerprint_text(fingerprint)},
+             {"endpoint", endpoint},
+             {"points", points},
+             {"known_points", crash_points(fingerprint)}});
   wire::blame_command command;
   command.points = points;
   command.fingerprint = static_cast<std::int64_t>(fingerprint);
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -14,6 +14,7 @@
 #include "pollenloft/control.hpp"
 #include "pollenloft/journal.hpp"
 #include "pollenloft/net.hpp"
+#include "pollenloft/poison.hpp"
 #include "pollenloft/settings.hpp"
 #include "pollenloft/telemetry.hpp"
 #include "reply_pacer.hpp"
@@ -892,6 +893,12 @@
     command.__isset.blame = true;
     command.blame = std::move(*report);
     command.blame.at_ms = wall_clock().count();
+    log_event(log_level::info, "crash.received",
+              {{"fingerprint", fingerprint_text(static_cast<std::uint64_t>(
+                                   command.blame.fingerprint))},
+               {"endpoint", command.blame.endpoint},
+               {"points", command.blame.points},
+               {"leads", is_active_leader() ? 1 : 0}});
     commit_and_acknowledge(call, command);
   }
 
@@ -1006,6 +1013,8 @@
                  static_cast<double>(state_.config().version));
     metrics_.set("pollenloft_claims",
                  static_cast<double>(state_.claim_count()));
+    metrics_.set("pollenloft_crash_records",
+                 static_cast<double>(state_.crash_records().size()));
     metrics_.set("pollenloft_renewals_total", static_cast<double>(renewals_));
     metrics_.set("pollenloft_document_number",
                  static_cast<double>(state_.document().number));
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "pollenloft/poison.hpp"
+
 namespace pollenloft {
 
 namespace {
@@ -167,9 +169,8 @@
       parameters.target->idempotent || method == "GET" || method == "HEAD";
   if (headers.find("Pollenloft-Idempotent") == "no")
     parameters.idempotent = false;
-  parameters.fingerprint =
-      hash64(call->request().body,
-             hash64(parameters.account + call->request().target));
+  parameters.fingerprint = request_fingerprint(
+      parameters.account, call->request().target, call->request().body);
   return true;
 }
 
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -1,5 +1,7 @@
 #include "front_request.hpp"
 
+#include "pollenloft/poison.hpp"
+
 namespace pollenloft {
 
 namespace {
@@ -293,6 +295,7 @@
       (response_.status == 503 || response_.status == 429) && !slow;
   log_event(log_level::info, "request.refused_by_endpoint",
             {{"id", params_.headers.request_id},
+             {"fingerprint", fingerprint_text(params_.fingerprint)},
              {"attempt", lifecycle_.attempt()},
              {"endpoint", failed_endpoint},
              {"status", response_.status}});
@@ -342,6 +345,7 @@
   const auto endpoint = stages_.front().endpoint->id;
   log_event(log_level::warning, "attempt.failed",
             {{"id", params_.headers.request_id},
+             {"fingerprint", fingerprint_text(params_.fingerprint)},
              {"attempt", lifecycle_.attempt()},
              {"endpoint", endpoint},
              {"events", events_forwarded_},
@@ -471,6 +475,7 @@
   host_.metrics_registry().add("pollenloft_stalls_total");
   log_event(log_level::warning, "attempt.stalled",
             {{"id", params_.headers.request_id},
+             {"fingerprint", fingerprint_text(params_.fingerprint)},
              {"attempt", lifecycle_.attempt()},
              {"endpoint", stages.front().endpoint->id},
              {"events", events_forwarded_}});
@@ -534,6 +539,8 @@
   log_event(
       succeeded ? log_level::debug : log_level::info, "request.ended",
       {{"id", params_.headers.request_id},
+       {"fingerprint", fingerprint_text(params_.fingerprint)},
+       {"account", params_.account},
        {"route", params_.route->name},
        {"document", params_.table->config().number},
        {"outcome", result},
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -39,6 +39,7 @@
   std::string account;                     ///< empty on public routes
   std::int32_t priority = 1;
   platform::caller_headers headers;
+  std::uint64_t fingerprint = 0;  ///< of account, target and body
   instant arrived{};
   instant accepted{};  ///< later than `arrived` if the request was deferred
   instant deadline{};
--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -2,6 +2,7 @@
 
 #include "pollenloft/engine.hpp"
 #include "pollenloft/placement.hpp"
+#include "pollenloft/poison.hpp"
 
 namespace pollenloft {
 
@@ -217,6 +218,8 @@
   params.service = pick_service(*params.route, random_.unit());
   const auto& service = config.services.at(params.service);
   if (service.engine) params.engine = &*service.engine;
+  params.fingerprint =
+      request_fingerprint(params.account, request.target, request.body);
   params.arrived = arrived;
   params.accepted = boottime_clock::now();
   const auto timeout = params.headers.deadline.value_or(default_timeout);
