--- a/src/standin_engine.cpp
+++ b/src/standin_engine.cpp
@@ -14,6 +14,8 @@
 constexpr auto call_timeout = milliseconds(1000);
 constexpr auto leave_grace_period = std::chrono::seconds(2);
 constexpr auto crash_marker = "[crash]";
+/// Names the endpoint in calls of the platform's front.
+constexpr auto platform_endpoint_header = "Expect-Instance";
 constexpr double bytes_per_token = 4;
 
 auto reply_json(const exchange_ptr& call, int status, const json& body,
@@ -444,8 +446,9 @@
   const auto refuse = [&](const char* reason) {
     reply_json(call, 503, {{"error", reason}, {"endpoint", spec_.id}}, false);
   };
-  if (request.headers.find("Pollenloft-Endpoint") != spec_.id)
-    return refuse("incarnation");
+  auto endpoint = request.headers.find("Pollenloft-Endpoint");
+  if (!endpoint) endpoint = request.headers.find(platform_endpoint_header);
+  if (endpoint != spec_.id) return refuse("incarnation");
   if (leave_announced_at_ != instant{}) return refuse("leaving");
   if (plain_running_ >= spec_.slots) return refuse("full");
   const auto key =
