Hold back requests that crash endpoints on the platform's front

Callers on Tallinn saw a plain service without endpoints for seconds, again and again, while one request crashed all three of them at each return. Cause: the front had no record of crashes. Each arrival, at each of the VMs, ran on as many endpoints as its route has attempts. Ruled out as the cause: late or lost records, since none was made.

What decides is code of its own now (poison.hpp), for both interfaces: the control role keeps the crashes recorded against a request (crash_ledger), an entry VM decides by them and by its own (crash_guard), and every host of requests must provide the monitor that records them (dispatch_host). Both dispatch queues, chain repairs and arrivals ask it.

- A crash is told from a lost connection: after one, the addresses of the dispatch are probed without sending data; only one that refuses connections has crashed.
The retry waits for the answer.
- Three inferred crashes before the first event stop a request, four later ones; endpoints that crashed together count once, and each incarnation once.
- A run that its endpoint survives drops the record.
Requests beside a poison request aren't charged with crashes that it explains.
- A stopped request gets 503 at once with the time to come back.
After a hold of 20 s, three times as long after each further crash, each VM admits it once, at a time of its own.
- Records from the second crash on reach entry VMs with the next renewal, which is answered at once; they were sent with every renewal, in the order of their fingerprints, 100 at most.

--- a/include/pollenloft/control.hpp
+++ b/include/pollenloft/control.hpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "pollenloft/config.hpp"
+#include "pollenloft/poison.hpp"
 #include "pollenloft/wire.hpp"
 
 namespace pollenloft {
@@ -64,7 +65,7 @@
   /// Beyond this, the oldest settled claim is evicted.
   std::size_t max_claims = 200000;
   milliseconds claim_retention{std::chrono::hours(24)};
-  milliseconds crash_points_retention{std::chrono::hours(1)};
+  crash_limits crashes;
   std::size_t max_claim_body_bytes = 16 * 1024;  ///< of a recorded response
 };
 
@@ -72,7 +73,8 @@
 /// same entries have the same state.
 class control_state {
  public:
-  explicit control_state(control_limits limits = {}) : limits_(limits) {}
+  explicit control_state(control_limits limits = {})
+      : limits_(limits), crashes_(limits.crashes) {}
 
   /// Applies a committed command (an encoded `wire::command`) and returns the
   /// result for its proposer; empty if the bytes cannot be decoded.
@@ -99,10 +101,7 @@
       -> const wire::claim_record*;
   /// VM incarnations that hold open claims.
   auto open_claim_holders() const -> std::vector<std::string>;
-  /// Crash points of the requests with this fingerprint: points against a
-  /// request that was on endpoints when they crashed.
-  auto crash_points(std::uint64_t fingerprint) const -> int;
-  auto crash_records() const -> std::vector<wire::blame_record>;
+  auto crashes() const -> const crash_ledger& { return crashes_; }
   /// The reply to an earlier patch with this id, if still kept.
   auto recorded_patch_reply(const std::string& patch_id) const
       -> std::optional<patch_reply>;
@@ -112,7 +111,6 @@
   auto apply_claim(wire::claim_record claim) -> wire::claim_reply;
   auto apply_settle(const wire::settle_command& settle) -> void;
   auto apply_abandon(const wire::abandon_command& abandon) -> void;
-  auto apply_crash_report(const wire::blame_command& report) -> void;
   auto apply_document(wire::document_command document) -> void;
   auto expire(milliseconds now) -> void;
   auto evict_oldest_settled_claim() -> bool;
@@ -130,7 +128,7 @@
   // Time of the claim in ms and key of `claims_`, oldest first.
   std::deque<std::pair<std::int64_t, std::string>> claim_order_;
   std::map<std::string, std::set<std::string>> open_by_holder_;  // claim keys
-  std::map<std::int64_t, wire::blame_record> crash_records_;  // by fingerprint
+  crash_ledger crashes_;
 };
 
 /// The configuration leases granted by the leader. A version is in force
--- a/include/pollenloft/lifecycle.hpp
+++ b/include/pollenloft/lifecycle.hpp
@@ -10,6 +10,7 @@
 
 #include "pollenloft/chart.hpp"
 #include "pollenloft/core.hpp"
+#include "pollenloft/poison.hpp"
 
 namespace pollenloft {
 
@@ -79,15 +80,6 @@
   std::size_t max_attempts = 4;
 };
 
-/// Points against a request for each endpoint that crashes while running it. A
-/// crash before the first token counts twice: a poison request causes one on
-/// every attempt, another request on the same endpoint only rarely. With this
-/// threshold a request that crashes endpoints before its first token is stopped
-/// after two crashes, and one that crashes them later is stopped after four.
-constexpr int crash_points_before_first_token = 2;
-constexpr int crash_points_after_first_token = 1;
-constexpr int poison_threshold = 4;
-
 /// The event, action and guard names that a request chart may use.
 auto request_chart_names() -> chart_names;
 
--- a/include/pollenloft/net.hpp
+++ b/include/pollenloft/net.hpp
@@ -246,6 +246,33 @@
   std::unique_ptr<impl> impl_;
 };
 
+/// What an attempt to connect showed about a peer.
+enum class listener_state {
+  listening,  ///< the connection was established
+  refused,    ///< the VM answered that no process listens
+  unknown     ///< no answer in time, or no route
+};
+
+/// Finds out whether processes listen, without sending them any data. Probes of
+/// one peer at the same time share a connection.
+class listener_prober {
+ public:
+  using handler = sigc::slot<void(listener_state)>;
+
+  explicit listener_prober(event_loop& loop);
+  ~listener_prober();
+  listener_prober(const listener_prober&) = delete;
+  auto operator=(const listener_prober&) -> listener_prober& = delete;
+
+  /// `done` is called once, later, unless the prober is destroyed before.
+  auto probe(const socket_address& peer, duration timeout, handler done)
+      -> void;
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
 }  // namespace pollenloft
 
 #endif
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -87,6 +87,15 @@
   step(request_event::refused);
 }
 
+auto caller_request::stop_if_poison() -> bool {
+  auto& guard = host_.crashes().guard();
+  if (!guard.stopped_since(params_.fingerprint, params_.arrived)) return false;
+  const auto wait = guard.held_for(params_.fingerprint, boottime_clock::now());
+  refuse("this request crashed endpoints and is not run again",
+         std::max(to_ms(wait), retry_after_));
+  return true;
+}
+
 auto caller_request::execute(request_action action) -> void {
   switch (action) {
     case request_action::claim:
@@ -368,9 +377,16 @@
 /// The call may have reached the endpoint and run.
 auto caller_request::handle_call_failure(const call_interrupted& interrupted)
     -> void {
-  fail_attempt(stages_.front().endpoint->id,
-               interrupted.cause.reason == "connection closed",
-               interrupted.cause);
+  const auto endpoint = stages_.front().endpoint;
+  const auto attempt = lifecycle_.attempt();
+  host_.crashes().detect_crash(
+      endpoint->address, [weak_self = weak_from_this(), attempt, endpoint,
+                          cause = interrupted.cause](bool crashed) {
+        auto self = weak_self.lock();
+        if (self && attempt == self->lifecycle_.attempt() &&
+            self->dispatch_active_)
+          self->fail_attempt(endpoint->id, crashed, cause);
+      });
 }
 
 auto caller_request::handle_refusal(std::string_view body) -> void {
@@ -466,8 +482,10 @@
                             : crash_points_before_first_token;
     if (host_.disabled_mechanism() != "blame")
       lifecycle_.add_crash_points(points);
-    host_.metrics_registry().add("pollenloft_crash_reports_total");
-    host_.control().report_crash(params_.fingerprint, endpoint, points);
+    for (const auto& stage : stages_)
+      if (stage.endpoint->id == endpoint)
+        host_.crashes().record_crash(
+            {dispatch_id_, params_.fingerprint, points}, *stage.endpoint);
   }
   step(request_event::broken);
 }
@@ -582,6 +600,7 @@
 }
 
 auto caller_request::reply_completed() -> void {
+  host_.crashes().record_survival(params_.fingerprint);
   if (std::holds_alternative<plain_service>(params_.target->kind)) {
     auto headers = reply_headers(outcome::completed);
     const auto type =
--- a/src/caller_request.hpp
+++ b/src/caller_request.hpp
@@ -64,6 +64,9 @@
   /// Ends a queued request. The response asks the caller to retry after
   /// `retry_after`.
   auto refuse(const std::string& reason, milliseconds retry_after) -> void;
+  /// Ends a queued request that has crashed endpoints since it arrived; false
+  /// if it has not.
+  auto stop_if_poison() -> bool;
   /// Sends the request to the first endpoint of the chain `stages`.
   auto dispatch(chain stages) -> void;
   auto parameters() const -> const request_parameters& { return params_; }
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -38,7 +38,7 @@
   if (command->__isset.claim) return apply_claim(std::move(command->claim));
   if (command->__isset.settle) apply_settle(command->settle);
   if (command->__isset.abandon) apply_abandon(command->abandon);
-  if (command->__isset.blame) apply_crash_report(command->blame);
+  if (command->__isset.blame) crashes_.apply(command->blame);
   if (command->__isset.document) apply_document(std::move(command->document));
   return {};
 }
@@ -215,20 +215,6 @@
   open_by_holder_.erase(holder);
 }
 
-auto control_state::apply_crash_report(const wire::blame_command& report)
-    -> void {
-  expire(milliseconds(report.at_ms));
-  auto& record = crash_records_[report.fingerprint];
-  record.fingerprint = report.fingerprint;
-  record.at_ms = report.at_ms;
-  auto& endpoints = record.endpoints;
-  if (std::find(endpoints.begin(), endpoints.end(), report.endpoint) ==
-      endpoints.end()) {
-    endpoints.push_back(report.endpoint);
-    record.points += report.points;
-  }
-}
-
 /// The highest number wins, whatever the order of the commands. A frame that
 /// cannot be decoded is ignored, as by every other replica.
 auto control_state::apply_document(wire::document_command document) -> void {
@@ -247,19 +233,6 @@
   document_ = {document.number, std::move(*text)};
 }
 
-auto control_state::crash_points(std::uint64_t fingerprint) const -> int {
-  const auto found =
-      crash_records_.find(static_cast<std::int64_t>(fingerprint));
-  return found == crash_records_.end() ? 0 : found->second.points;
-}
-
-auto control_state::crash_records() const -> std::vector<wire::blame_record> {
-  std::vector<wire::blame_record> records;
-  for (const auto& [fingerprint, record] : crash_records_)
-    records.push_back(record);
-  return records;
-}
-
 /// `now` is the time recorded in an entry, so that expiry is the same on all
 /// replicas.
 auto control_state::expire(milliseconds now) -> void {
@@ -280,11 +253,7 @@
     }
     claim_order_.pop_front();
   }
-  for (auto it = crash_records_.begin(); it != crash_records_.end();) {
-    const auto old =
-        milliseconds(it->second.at_ms) + limits_.crash_points_retention < now;
-    it = old ? crash_records_.erase(it) : std::next(it);
-  }
+  crashes_.expire(now);
 }
 
 auto control_state::save() const -> std::string {
@@ -302,7 +271,7 @@
         saved_claims.insert(id).second)
       snapshot.claims.push_back(found->second);
   }
-  snapshot.blames = crash_records();
+  snapshot.blames = crashes_.records();
   snapshot.document = document_.number;
   snapshot.document_text = document_.text;
   return encode_wire(snapshot);
@@ -328,8 +297,7 @@
       open_by_holder_[claim.holder].insert(id);
     claims_[id] = std::move(claim);
   }
-  for (auto& record : snapshot->blames)
-    crash_records_[record.fingerprint] = std::move(record);
+  crashes_.load(std::move(snapshot->blames));
   document_ = {snapshot->document, std::move(snapshot->document_text)};
   return true;
 }
--- a/src/control_client.cpp
+++ b/src/control_client.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "pollenloft/poison.hpp"
 #include "pollenloft/telemetry.hpp"
 
 namespace pollenloft {
@@ -40,7 +39,8 @@
       document_fetcher_(loop, client, state_kind::document,
                         hash64(options_.vm)),
       config_fetcher_(loop, client, state_kind::configuration,
-                      hash64(options_.vm)) {
+                      hash64(options_.vm)),
+      crash_guard_(hash64(options_.vm)) {
   const auto replicas = [this]() -> const std::vector<socket_address>& {
     return options_.replicas;
   };
@@ -64,11 +64,6 @@
   return has_config_ && boottime_clock::now() < lease_until_;
 }
 
-auto control_client::crash_points(std::uint64_t fingerprint) const -> int {
-  const auto found = crash_points_.find(static_cast<std::int64_t>(fingerprint));
-  return found == crash_points_.end() ? 0 : found->second;
-}
-
 auto control_client::select_next_replica() -> void {
   target_ = (target_ + 1) % options_.replicas.size();
 }
@@ -100,6 +95,8 @@
   request.draining = draining_;
   request.document = std::max(document_.number, newest_document_);
   request.fetches_state = true;
+  request.tracks_suspects = true;
+  request.suspects_digest = suspects_digest_;
   request.first = first_renewal_;
   if (usage_source_) request.usage = usage_source_();
   http_call call{options_.replicas[target_],
@@ -146,6 +143,7 @@
   const auto reply = decode_wire<wire::renew_reply>(body);
   const auto granted = reply && reply->granted;
   if (reply) add_reported_replicas(*reply);
+  if (granted) apply_suspects(*reply);
   ++renewals_.completed;
   renewals_.received_bytes += body.size();
   if (!granted || !apply_document(*reply, sent) || !apply_config(*reply)) {
@@ -165,9 +163,6 @@
   usage_.clear();
   for (const auto& usage : reply->usage)
     usage_[usage.account] = usage;
-  crash_points_.clear();
-  for (const auto& record : reply->blames)
-    crash_points_[record.fingerprint] = record.points;
   first_renewal_ = false;
   if (reply->directory_full || !reply->endpoints.empty())
     endpoints_changed.emit(reply->endpoints, reply->directory_full);
@@ -175,6 +170,13 @@
   renew();
 }
 
+/// A leader that knows of the digest sends records only if it has changed.
+auto control_client::apply_suspects(const wire::renew_reply& reply) -> void {
+  if (reply.suspects_digest == suspects_digest_ && reply.blames.empty()) return;
+  suspects_digest_ = reply.suspects_digest;
+  crash_guard_.update(reply.blames, boottime_clock::now());
+}
+
 auto control_client::add_replicas(const std::vector<socket_address>& replicas)
     -> void {
   for (const auto& replica : replicas) {
@@ -392,19 +394,8 @@
               [this](const auto& /*body*/) { --pending_settlements_; });
 }
 
-auto control_client::report_crash(std::uint64_t fingerprint,
-                                  const std::string& endpoint, int points)
-    -> void {
-  log_event(log_level::warning, "crash.reported",
-            {{"fingerprint", fingerprint_text(fingerprint)},
-             {"endpoint", endpoint},
-             {"points", points},
-             {"known_points", crash_points(fingerprint)}});
-  wire::blame_command command;
-  command.points = points;
-  command.fingerprint = static_cast<std::int64_t>(fingerprint);
-  command.endpoint = endpoint;
-  call_leader("/control/blame", encode_wire(command),
+auto control_client::report_crash(const wire::blame_command& report) -> void {
+  call_leader("/control/blame", encode_wire(report),
               boottime_clock::now() + settle_timeout, parse_settle_reply,
               [](const auto& /*body*/) {});
 }
--- a/src/control_client.hpp
+++ b/src/control_client.hpp
@@ -74,9 +74,8 @@
       -> const std::map<std::string, wire::account_usage>& {
     return usage_;
   }
-  /// Crash points of the requests with this fingerprint, as last received from
-  /// the leader.
-  auto crash_points(std::uint64_t fingerprint) const -> int;
+  /// Decides which requests may run; follows the leader's crash records.
+  auto crashes() -> crash_guard& { return crash_guard_; }
   auto set_usage_source(usage_source source) -> void {
     usage_source_ = std::move(source);
   }
@@ -91,9 +90,8 @@
              claim_handler done) -> void;
   /// Records the outcome of a claimed request.
   auto settle(const wire::settle_command& command) -> void;
-  /// Adds crash points to a request that was on an endpoint when it crashed.
-  auto report_crash(std::uint64_t fingerprint, const std::string& endpoint,
-                    int points) -> void;
+  /// Records a crash under a request, or a run that its endpoint survived.
+  auto report_crash(const wire::blame_command& report) -> void;
   /// Number of settlements that the leader has not acknowledged yet.
   auto pending_settlements() const -> std::size_t {
     return pending_settlements_;
@@ -124,6 +122,7 @@
   auto record_announcement(std::int64_t number, instant sent) -> void;
   /// Sets when the document held was last known to be the newest.
   auto confirm_document() -> void;
+  auto apply_suspects(const wire::renew_reply& reply) -> void;
   auto add_reported_replicas(const wire::renew_reply& reply) -> void;
   auto select_leader(const std::string& leader) -> void;
   auto select_next_replica() -> void;
@@ -157,7 +156,8 @@
   std::size_t vm_count_ = 1;
   std::size_t pending_settlements_ = 0;
   std::map<std::string, wire::account_usage> usage_;
-  std::map<std::int64_t, int> crash_points_;
+  crash_guard crash_guard_;
+  std::int64_t suspects_digest_ = 0;  // of the records last received
   renewal_counters renewals_;
   usage_source usage_source_;
   timer retry_;
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -38,7 +38,6 @@
 constexpr std::size_t max_in_flight_per_peer = 64;  // requests
 constexpr std::size_t max_pending_claims = 20000;   // not committed yet
 constexpr std::size_t max_reported_accounts = 16;
-constexpr std::size_t max_sent_crash_records = 100;
 constexpr std::uint64_t min_compaction_bytes = 4 * 1024 * 1024;
 /// Own configurations up to this size travel in the renewal, others in parts.
 constexpr std::size_t max_inline_config_bytes = 16 * 1024;
@@ -696,7 +695,9 @@
                state_.config().version ||
            request.document != state_.document().number ||
            request.term != static_cast<std::int64_t>(replica_.term()) ||
-           request.directory_sequence != directory_.sequence();
+           request.directory_sequence != directory_.sequence() ||
+           (request.tracks_suspects &&
+            request.suspects_digest != state_.crashes().suspects_digest());
   }
 
   // --- transfer of state texts ---------------------------------------------
@@ -800,9 +801,7 @@
     reply.usage = leases_.heaviest_accounts(max_reported_accounts, now);
     renewal_state_bytes_ +=
         reply.document_text.size() + reply.configuration.size();
-    reply.blames = state_.crash_records();
-    if (reply.blames.size() > max_sent_crash_records)
-      reply.blames.resize(max_sent_crash_records);
+    add_suspects(reply, request);
     send_paced(call, reply);
   }
 
@@ -825,6 +824,19 @@
       reply.configuration = std::move(text);
   }
 
+  auto add_suspects(wire::renew_reply& reply,
+                    const wire::renew_request& request) const -> void {
+    const auto& crashes = state_.crashes();
+    reply.suspects_digest = crashes.suspects_digest();
+    if (request.tracks_suspects &&
+        request.suspects_digest == reply.suspects_digest)
+      return;
+    reply.blames = crashes.suspects();
+    const auto now_ms = wall_clock().count();
+    for (auto& record : reply.blames)
+      record.age_ms = std::max<std::int64_t>(0, now_ms - record.at_ms);
+  }
+
   /// Adds the next changed records of the directory. A VM that needs more of
   /// them asks again at once.
   auto add_directory_changes(wire::renew_reply& reply,
@@ -898,6 +910,7 @@
                                    command.blame.fingerprint))},
                {"endpoint", command.blame.endpoint},
                {"points", command.blame.points},
+               {"survived", command.blame.survived ? 1 : 0},
                {"leads", is_active_leader() ? 1 : 0}});
     commit_and_acknowledge(call, command);
   }
@@ -1014,7 +1027,7 @@
     metrics_.set("pollenloft_claims",
                  static_cast<double>(state_.claim_count()));
     metrics_.set("pollenloft_crash_records",
-                 static_cast<double>(state_.crash_records().size()));
+                 static_cast<double>(state_.crashes().records().size()));
     metrics_.set("pollenloft_renewals_total", static_cast<double>(renewals_));
     metrics_.set("pollenloft_document_number",
                  static_cast<double>(state_.document().number));
--- /dev/null
+++ b/src/crash_monitor.cpp
@@ -0,0 +1,97 @@
+#include "crash_monitor.hpp"
+
+namespace pollenloft {
+
+namespace {
+
+/// A process that ends may close its connections before its listener.
+constexpr auto probe_delay = milliseconds(5);
+/// A VM that is gone or cut off does not answer: that is not a crash.
+constexpr auto probe_timeout = milliseconds(100);
+
+/// A process that starts again under its id is another endpoint.
+auto incarnation_name(const endpoint_view& endpoint) -> std::string {
+  return endpoint.id + "/" + endpoint.incarnation;
+}
+
+}  // namespace
+
+crash_monitor::crash_monitor(event_loop& loop, crash_guard& guard,
+                             metrics& registry, report_sink report)
+    : loop_(loop),
+      guard_(guard),
+      metrics_(registry),
+      report_(std::move(report)),
+      prober_(loop) {}
+
+auto crash_monitor::detect_crash(const socket_address& endpoint,
+                                 result_handler done) -> void {
+  auto delay = std::make_shared<timer>();
+  *delay = loop_.after(
+      probe_delay, [this, delay, endpoint, alive = std::weak_ptr(alive_),
+                    done = std::move(done)] {
+        if (alive.expired()) return;
+        // Breaks the cycle of the timer and its own callback, which must not be
+        // destroyed while it runs.
+        loop_.post([delay] { *delay = timer(); });
+        prober_.probe(endpoint, probe_timeout, [done](listener_state state) {
+          done(state == listener_state::refused);
+        });
+      });
+}
+
+auto crash_monitor::attribute(const interrupted_request& request,
+                              const chain& stages, result_handler done)
+    -> void {
+  struct progress {
+    std::size_t remaining;
+    bool crashed = false;
+  };
+  auto state = std::make_shared<progress>(progress{stages.size()});
+  for (const auto& stage : stages) {
+    const auto endpoint = stage.endpoint;
+    detect_crash(endpoint->address,
+                 [this, request, endpoint, state, done](bool crashed) {
+                   if (crashed && !state->crashed) {
+                     state->crashed = true;
+                     record_crash(request, *endpoint);
+                   }
+                   if (--state->remaining == 0) done(state->crashed);
+                 });
+  }
+}
+
+auto crash_monitor::record_crash(const interrupted_request& request,
+                                 const endpoint_view& endpoint) -> void {
+  if (disabled_) return;
+  const auto name = incarnation_name(endpoint);
+  if (!guard_.record_crash(request.fingerprint, name, request.points,
+                           boottime_clock::now()))
+    return;
+  log_event(log_level::warning, "crash.reported",
+            {{"id", request.id},
+             {"fingerprint", fingerprint_text(request.fingerprint)},
+             {"endpoint", name},
+             {"points", request.points},
+             {"known_points", guard_.points(request.fingerprint)}});
+  metrics_.add("pollenloft_crash_reports_total");
+  wire::blame_command report;
+  report.fingerprint = static_cast<std::int64_t>(request.fingerprint);
+  report.endpoint = name;
+  report.points = request.points;
+  report_(report);
+}
+
+auto crash_monitor::record_survival(std::uint64_t fingerprint) -> void {
+  const auto points = guard_.points(fingerprint);
+  if (!guard_.record_survival(fingerprint)) return;
+  log_event(
+      log_level::info, "crash.absolved",
+      {{"fingerprint", fingerprint_text(fingerprint)}, {"points", points}});
+  wire::blame_command report;
+  report.fingerprint = static_cast<std::int64_t>(fingerprint);
+  report.survived = true;
+  report_(report);
+}
+
+}  // namespace pollenloft
--- /dev/null
+++ b/src/crash_monitor.hpp
@@ -0,0 +1,65 @@
+/// \file crash_monitor.hpp
+/// Finds out which endpoints crashed while they ran a request, and shares that
+/// with the other VMs through the control role.
+#ifndef POLLENLOFT_CRASH_MONITOR_HPP
+#define POLLENLOFT_CRASH_MONITOR_HPP
+
+#include <memory>
+#include <string>
+
+#include "pollenloft/net.hpp"
+#include "pollenloft/poison.hpp"
+#include "pollenloft/route.hpp"
+#include "pollenloft/telemetry.hpp"
+
+namespace pollenloft {
+
+/// A request whose dispatch was interrupted.
+struct interrupted_request {
+  std::string id;  ///< for the log
+  std::uint64_t fingerprint = 0;
+  int points = 0;  ///< for a crash
+};
+
+class crash_monitor {
+ public:
+  /// Sends a report to the control role.
+  using report_sink = sigc::slot<void(const wire::blame_command&)>;
+  using result_handler = sigc::slot<void(bool)>;
+
+  crash_monitor(event_loop& loop, crash_guard& guard, metrics& registry,
+                report_sink report);
+  crash_monitor(const crash_monitor&) = delete;
+  auto operator=(const crash_monitor&) -> crash_monitor& = delete;
+
+  auto guard() -> crash_guard& { return guard_; }
+  /// For checks only: records nothing from now on.
+  auto disable() -> void { disabled_ = true; }
+  /// Tells whether a process still listens at an endpoint: `done` gets true if
+  /// the endpoint has crashed, false if it has not or cannot be reached.
+  auto detect_crash(const socket_address& endpoint, result_handler done)
+      -> void;
+  /// Checks the endpoints of an interrupted dispatch, records a crash against
+  /// the request and calls `done` with whether there was one. Endpoints that
+  /// crashed together count once: they were lost by one cause.
+  auto attribute(const interrupted_request& request, const chain& stages,
+                 result_handler done) -> void;
+  /// Records a crash that is known already.
+  auto record_crash(const interrupted_request& request,
+                    const endpoint_view& endpoint) -> void;
+  /// Records that an endpoint ran the request to the end.
+  auto record_survival(std::uint64_t fingerprint) -> void;
+
+ private:
+  event_loop& loop_;
+  crash_guard& guard_;
+  metrics& metrics_;
+  report_sink report_;
+  listener_prober prober_;
+  bool disabled_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace pollenloft
+
+#endif
--- a/src/dispatch_host.hpp
+++ b/src/dispatch_host.hpp
@@ -5,6 +5,7 @@
 
 #include <memory>
 
+#include "crash_monitor.hpp"
 #include "pollenloft/net.hpp"
 #include "pollenloft/route.hpp"
 #include "pollenloft/telemetry.hpp"
@@ -24,6 +25,7 @@
   virtual auto client() -> http_client& = 0;
   virtual auto metrics_registry() -> metrics& = 0;
   virtual auto routes() -> router& = 0;
+  virtual auto crashes() -> crash_monitor& = 0;
   /// Queues a request; `requeued` puts one that was dispatched before at the
   /// front.
   virtual auto enqueue(const request_ptr& request, bool requeued) -> void = 0;
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -54,10 +54,13 @@
           loop_, client_,
           {options_.vm, incarnation_, options_.zone, options_.listen.text(),
            options_.control, options_.max_document_age}),
+      crashes_(loop_, control_.crashes(), metrics_,
+               [this](const auto& report) { control_.report_crash(report); }),
       endpoint_owner_(options_.vm, options_.listen.text()),
       router_(options_.routing, options_.seed),
       queues_(options_.max_queued, options_.seed),
       dispatch_task_(loop_, [this] { dispatch_queued(); }) {
+  if (options_.disabled_mechanism == "blame") crashes_.disable();
   control_.config_changed.connect([this] { apply_config(); });
   control_.endpoints_changed.connect(
       [this](const auto& records, bool complete) {
@@ -223,8 +226,8 @@
                                  request_parameters parameters) -> void {
   if (requests_.size() >= max_open_requests)
     return refuse(call, 503, "Too many requests are open on this VM.");
-  if (control_.crash_points(parameters.fingerprint) >= poison_threshold &&
-      options_.disabled_mechanism != "blame")
+  if (crashes_.guard().admit(parameters.fingerprint, parameters.arrived) >
+      duration::zero())
     return refuse(call, 422,
                   "This request has crashed endpoints and is not run again.");
   retry_budget_.deposit();
@@ -385,6 +388,10 @@
   std::set<std::string> blocked_accounts;
   while (const auto id = queue.peek(blocked_accounts)) {
     const auto request = requests_.at(*id);
+    if (request->stop_if_poison()) {
+      queue.remove(*id, false);
+      continue;
+    }
     const auto& account = request->parameters().account;
     auto criteria = request->make_chain_request();
     if (above_fair_share(account))
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -58,6 +58,7 @@
   auto client() -> http_client& override { return client_; }
   auto control() -> control_client& override { return control_; }
   auto routes() -> router& override { return router_; }
+  auto crashes() -> crash_monitor& override { return crashes_; }
   auto metrics_registry() -> metrics& override { return metrics_; }
   auto request_chart() const -> const chart& override { return chart_; }
   auto budget() -> retry_budget& override { return retry_budget_; }
@@ -119,10 +120,11 @@
   http_client client_;
   http_server server_;
   control_client control_;
+  metrics metrics_;
+  crash_monitor crashes_;
   endpoint_owner endpoint_owner_;
   router router_;
   retry_budget retry_budget_;
-  metrics metrics_;
   timer tick_timer_;
   timer drain_timer_;
   timer grace_timer_;
--- a/src/entryd.cpp
+++ b/src/entryd.cpp
@@ -132,8 +132,8 @@
   std::optional<front_server> front;
   if (!values.text("front").empty()) {
     front.emplace(loop, make_front_options(values, options.seed),
-                  server.client(), server.control(), server.request_chart(),
-                  server.metrics_registry());
+                  server.client(), server.control(), server.crashes(),
+                  server.request_chart(), server.metrics_registry());
     server.set_other_open_requests([&front] { return front->open_requests(); });
     server.ending_open_requests.connect(
         [&front] { front->end_open_requests(); });
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -152,6 +152,7 @@
   response_ = {};
   response_head_ = {};
   partial_event_.clear();
+  attempt_first_event_ = events_forwarded_;
   dispatched_at_ = boottime_clock::now();
   const auto attempt = lifecycle_.attempt();
   if (attempt == 1)
@@ -247,7 +248,7 @@
                           handle_unsent(unsent.cause);
                         },
                         [this](const call_interrupted& interrupted) {
-                          fail_attempt(interrupted.cause);
+                          handle_interruption(interrupted.cause);
                         }},
              result);
 }
@@ -259,6 +260,7 @@
     return fail_attempt({"answer.head", stages_.front().endpoint->id,
                          "the answer is for another request"});
   if (response_head_.not_run) return handle_refusal();
+  host_.crashes().record_survival(params_.fingerprint);
   response_.body = body;
   const auto failed = response_.status >= 500;
   if (failed && params_.route->may_repeat() && !exchange_->started()) {
@@ -339,8 +341,55 @@
   step(request_event::busy);
 }
 
+/// The connection broke off. Any stage may have crashed: the head breaks off
+/// when a later one does.
+auto front_request::handle_interruption(const error& cause) -> void {
+  const auto stages = stages_;
+  end_failed_dispatch(cause);
+  attribute_crash(stages, [this] { continue_after(request_event::broken); });
+}
+
+auto front_request::attribute_crash(const chain& stages, task next) -> void {
+  const auto points = events_forwarded_ > attempt_first_event_
+                          ? inferred_points_after_first_event
+                          : inferred_points_before_first_event;
+  const auto attempt = lifecycle_.attempt();
+  const auto dispatch_active = dispatch_active_;
+  host_.crashes().attribute(
+      {params_.headers.request_id, params_.fingerprint, points}, stages,
+      [self = weak_from_this(), attempt, dispatch_active,
+       next = std::move(next)](bool crashed) {
+        auto request = self.lock();
+        if (!request || request->ended() ||
+            request->lifecycle_.attempt() != attempt ||
+            request->dispatch_active_ != dispatch_active)
+          return;
+        if (crashed) request->poison_suspect_ = true;
+        next();
+      });
+}
+
+auto front_request::stopped_by_crashes() const -> bool {
+  return host_.crashes().guard().stopped_since(params_.fingerprint,
+                                               params_.accepted);
+}
+
+auto front_request::stop_if_poison() -> bool {
+  if (!stopped_by_crashes()) return false;
+  const auto wait = host_.crashes().guard().held_for(params_.fingerprint,
+                                                     boottime_clock::now());
+  refuse(503, "this request crashed endpoints and is not run again",
+         std::max(to_ms(wait), retry_after_));
+  return true;
+}
+
 /// Handles an interrupted dispatch, which may have run.
 auto front_request::fail_attempt(const error& cause) -> void {
+  end_failed_dispatch(cause);
+  continue_after(request_event::broken);
+}
+
+auto front_request::end_failed_dispatch(const error& cause) -> void {
   if (pending_call_) pending_call_->cancel();
   const auto endpoint = stages_.front().endpoint->id;
   log_event(log_level::warning, "attempt.failed",
@@ -356,7 +405,6 @@
   // Any stage of a chain may have failed; the head only reports the failure.
   if (stages_.size() == 1) avoided_endpoints_.insert(endpoint);
   release_slots(dispatch_result::failed, endpoint);
-  continue_after(request_event::broken);
 }
 
 auto front_request::release_slots(dispatch_result result,
@@ -394,7 +442,12 @@
                   [&](const auto& stage) { return stage.endpoint->id == id; });
   if (!affected || !params_.route->may_repeat()) return;
   avoided_endpoints_.insert(id);
-  repair_or_abandon(id, boottime_clock::now() + repair_timeout);
+  chain failed;
+  std::copy_if(stages_.begin(), stages_.end(), std::back_inserter(failed),
+               [&](const auto& stage) { return stage.endpoint->id == id; });
+  attribute_crash(failed, [this, id] {
+    repair_or_abandon(id, boottime_clock::now() + repair_timeout);
+  });
 }
 
 /// The layers of the failed endpoint are being loaded elsewhere in the zone.
@@ -402,7 +455,11 @@
 /// chain.
 auto front_request::repair_or_abandon(const std::string& failed_endpoint,
                                       instant until) -> void {
-  if (!dispatch_active_ || repair_chain(failed_endpoint)) return;
+  if (!dispatch_active_) return;
+  if (stopped_by_crashes())
+    return fail_attempt(
+        {"chain.repair", failed_endpoint, "the request crashed endpoints"});
+  if (repair_chain(failed_endpoint)) return;
   const auto can_wait = params_.engine != nullptr && events_forwarded_ > 0 &&
                         stages_.front().endpoint->id != failed_endpoint &&
                         boottime_clock::now() < until;
@@ -465,7 +522,14 @@
   handle_stall();
 }
 
+/// A dispatch stalls when any of its stages has crashed.
 auto front_request::handle_stall() -> void {
+  attribute_crash(stages_, [this, events = events_forwarded_] {
+    if (events == events_forwarded_) abandon_stalled_dispatch();
+  });
+}
+
+auto front_request::abandon_stalled_dispatch() -> void {
   const auto stages = stages_;
   step(request_event::stalled);
   // A request that may not run again stays on this dispatch.
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -66,6 +66,9 @@
   /// `retry_after`.
   auto refuse(int status, const std::string& reason, milliseconds retry_after)
       -> void;
+  /// Ends a queued request that has crashed endpoints since it was admitted;
+  /// false if it has not.
+  auto stop_if_poison() -> bool;
   /// Applies a lifecycle event and carries out its actions.
   auto step(request_event event) -> void;
   /// Handles the failure of an endpoint: a repeatable request that runs on it
@@ -96,7 +99,15 @@
   auto handle_response(std::string_view body) -> void;
   auto handle_refusal() -> void;
   auto handle_unsent(const error& cause) -> void;
+  auto handle_interruption(const error& cause) -> void;
   auto fail_attempt(const error& cause) -> void;
+  /// Ends the dispatch as failed, without deciding how the request continues.
+  auto end_failed_dispatch(const error& cause) -> void;
+  /// Records a crash of any of the `stages` against this request, then calls
+  /// `next` unless the request has ended or gone on by then.
+  auto attribute_crash(const chain& stages, task next) -> void;
+  /// Whether crashes recorded since its admission forbid to run the request.
+  auto stopped_by_crashes() const -> bool;
   /// Applies `event` after a failed or refused attempt. A stream that its
   /// caller already reads waits first until the retry budget allows its
   /// resumption.
@@ -107,6 +118,7 @@
   auto stall_timeout() const -> duration;
   auto arm_stall_timer() -> void;
   auto handle_stall() -> void;
+  auto abandon_stalled_dispatch() -> void;
   /// Replaces one stage of a stream in flight; false if no endpoint can take
   /// over the stage.
   auto repair_chain(const std::string& failed_endpoint) -> bool;
@@ -143,6 +155,7 @@
   std::string partial_event_;  // bytes of an incomplete event
   std::optional<std::int64_t> last_event_id_;
   std::size_t events_forwarded_ = 0;
+  std::size_t attempt_first_event_ = 0;  // `events_forwarded_` at its start
   std::string end_reason_;
   std::optional<int> refusal_status_;
   milliseconds retry_after_{1000};
--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -47,11 +47,13 @@
 
 front_server::front_server(event_loop& loop, front_options options,
                            http_client& client, control_client& control,
-                           const chart& request_chart, metrics& registry)
+                           crash_monitor& crashes, const chart& request_chart,
+                           metrics& registry)
     : loop_(loop),
       options_(std::move(options)),
       client_(client),
       control_(control),
+      crashes_(crashes),
       chart_(request_chart),
       metrics_(registry),
       server_(loop_, front_limits,
@@ -102,7 +104,8 @@
 }
 
 auto front_server::refuse(const exchange_ptr& call, int status,
-                          const std::string& reason) -> void {
+                          const std::string& reason, milliseconds retry_after)
+    -> void {
   const auto id =
       platform::decode_caller_headers(call->request().headers).request_id;
   log_event(log_level::info, "request.refused",
@@ -114,7 +117,7 @@
   metrics_.add("pollenloft_refused_total",
                "status=\"" + std::to_string(status) + "\"");
   auto headers = platform::local_reply_headers(
-      id, status == 503 ? default_retry_after : milliseconds(0));
+      id, status == 503 ? retry_after : milliseconds(0));
   if (draining_) headers.add("Connection", "close");
   call->reply(status, headers, reason + "\n");
 }
@@ -227,10 +230,27 @@
   start_request(call, std::move(params));
 }
 
+auto front_server::refuse_poison(const exchange_ptr& call,
+                                 const front_parameters& params) -> bool {
+  auto& guard = crashes_.guard();
+  const auto wait = guard.admit(params.fingerprint, params.accepted);
+  if (wait == duration::zero()) return false;
+  log_event(log_level::info, "request.held_back",
+            {{"id", params.headers.request_id},
+             {"fingerprint", fingerprint_text(params.fingerprint)},
+             {"account", params.account},
+             {"points", guard.points(params.fingerprint)}});
+  metrics_.add("pollenloft_poison_refused_total");
+  refuse(call, 503, "This request crashed endpoints and is not run now.",
+         std::chrono::ceil<milliseconds>(wait));
+  return true;
+}
+
 auto front_server::start_request(const exchange_ptr& call,
                                  front_parameters params) -> void {
   if (requests_.size() >= max_open_requests)
     return refuse(call, 503, "Too many requests are open on this VM.");
+  if (refuse_poison(call, params)) return;
   const auto burst = std::max(1.0, retry_slack_share * options_.retry_slack /
                                        static_cast<double>(std::max(
                                            min_vm_count, control_.vm_count())));
@@ -396,8 +416,16 @@
                       default_retry_after);
       continue;
     }
-    auto stages =
-        router_.choose_with_fallback(request->make_chain_request(), now);
+    if (request->stop_if_poison()) {
+      queue.remove(*id, false);
+      continue;
+    }
+    auto criteria = request->make_chain_request();
+    auto stages = router_.choose_with_fallback(criteria, now);
+    if (!stages && criteria.poison_suspect) {
+      criteria.poison_suspect = false;
+      stages = router_.choose_with_fallback(criteria, now);
+    }
     if (!stages) return;
     queue.remove(*id, true);
     request->dispatch(std::move(*stages));
--- a/src/front_server.hpp
+++ b/src/front_server.hpp
@@ -33,8 +33,8 @@
 class front_server : public front_host {
  public:
   front_server(event_loop& loop, front_options options, http_client& client,
-               control_client& control, const chart& request_chart,
-               metrics& registry);
+               control_client& control, crash_monitor& crashes,
+               const chart& request_chart, metrics& registry);
 
   /// Listens; empty, see `last_error`, if an address cannot be bound.
   auto start() -> std::optional<bool>;
@@ -50,6 +50,7 @@
   auto client() -> http_client& override { return client_; }
   auto metrics_registry() -> metrics& override { return metrics_; }
   auto routes() -> router& override { return router_; }
+  auto crashes() -> crash_monitor& override { return crashes_; }
   auto draining() const -> bool override { return draining_; }
   auto enqueue(const front_request_ptr& request, bool requeued)
       -> void override;
@@ -78,8 +79,11 @@
   auto refuse_expired_deferred(instant now) -> void;
   auto handle_readiness(const exchange_ptr& call) -> void;
   auto ready() const -> bool;
-  auto refuse(const exchange_ptr& call, int status, const std::string& reason)
-      -> void;
+  auto refuse(const exchange_ptr& call, int status, const std::string& reason,
+              milliseconds retry_after = std::chrono::seconds(1)) -> void;
+  /// Refuses a request that crashed endpoints; false if it may run.
+  auto refuse_poison(const exchange_ptr& call, const front_parameters& params)
+      -> bool;
   auto start_request(const exchange_ptr& call, front_parameters params) -> void;
   /// Whether the newest known document still allows the request.
   auto still_authorized(const front_request& request) const -> bool;
@@ -107,6 +111,7 @@
   front_options options_;
   http_client& client_;
   control_client& control_;
+  crash_monitor& crashes_;
   const chart& chart_;
   metrics& metrics_;
   http_server server_;
--- a/support/pollenloft.thrift
+++ b/support/pollenloft.thrift
@@ -37,9 +37,11 @@
 }
 // Settles the open claims of a VM that is gone as unknown.
 struct abandon_command { 1: string holder, 2: i64 at_ms }
-// A request was on another endpoint when that crashed.
+// A request was on another endpoint when that crashed. With `survived`, an
+// endpoint ran it to the end, and what was recorded against it is dropped.
 struct blame_command {
-  1: i64 fingerprint, 2: string endpoint, 3: i64 at_ms, 4: i32 points
+  1: i64 fingerprint, 2: string endpoint, 3: i64 at_ms, 4: i32 points,
+  5: bool survived
 }
 
 // Replaces the routing document if `number` is higher than the current one.
@@ -61,8 +63,11 @@
 }
 struct version_record { 1: i64 version, 2: string id, 3: string body }
 struct patch_result { 1: string id, 2: i64 version, 3: string refusal }
+// `at_ms` is the time of the last crash; in renewals `age_ms` is the time since
+// then.
 struct blame_record {
-  1: i64 fingerprint, 2: list<string> endpoints, 3: i64 at_ms, 4: i32 points
+  1: i64 fingerprint, 2: list<string> endpoints, 3: i64 at_ms, 4: i32 points,
+  5: i64 age_ms
 }
 
 struct control_snapshot {
@@ -94,11 +99,13 @@
 
 // `document` is the newest one that the VM knows of. A VM with `fetches_state`
 // requests large texts in parts; to others the reply carries them whole.
+// `suspects_digest` is that of the crash records that the VM holds; it receives
+// those of others at once if it `tracks_suspects`.
 struct renew_request {
   1: string vm, 2: string incarnation, 3: i64 in_force, 4: i64 term,
   5: i64 directory_sequence, 6: list<account_usage> usage, 7: string zone,
   8: string address, 9: bool draining, 10: bool first, 11: i64 document,
-  12: bool fetches_state
+  12: bool fetches_state, 13: bool tracks_suspects, 14: i64 suspects_digest
 }
 struct renew_reply {
   1: bool granted, 2: string leader, 3: i64 lease_ms, 4: i64 term,
@@ -106,7 +113,8 @@
   8: i64 directory_sequence, 9: bool directory_full,
   10: list<endpoint_record> endpoints, 11: i32 vm_count,
   12: list<account_usage> usage, 13: list<blame_record> blames,
-  14: i64 document, 15: string document_text, 16: list<string> replicas
+  14: i64 document, 15: string document_text, 16: list<string> replicas,
+  17: i64 suspects_digest
 }
 
 // A request for the part at `offset` of the frame with `digest` of a state text;
--- a/test/control_test.cpp
+++ b/test/control_test.cpp
@@ -397,7 +397,7 @@
     command.blame.points = 2;
     state.apply(encode_wire(command));
     state.apply(encode_wire(command));
-    CPPUNIT_ASSERT_EQUAL(2, state.crash_points(7));
+    CPPUNIT_ASSERT_EQUAL(2, state.crashes().points(7));
   }
 
   auto version_waits_for_every_live_lease() -> void {
--- a/test/front_request_test.cpp
+++ b/test/front_request_test.cpp
@@ -15,12 +15,17 @@
 class test_host : public front_host {
  public:
   explicit test_host(event_loop& loop)
-      : loop_(loop), client_(loop), router_({}, 1) {}
+      : loop_(loop),
+        client_(loop),
+        router_({}, 1),
+        crashes_(loop, guard_, metrics_,
+                 [this](const auto& report) { reports.push_back(report); }) {}
 
   auto loop() -> event_loop& override { return loop_; }
   auto client() -> http_client& override { return client_; }
   auto metrics_registry() -> metrics& override { return metrics_; }
   auto routes() -> router& override { return router_; }
+  auto crashes() -> crash_monitor& override { return crashes_; }
   auto draining() const -> bool override { return false; }
   auto enqueue(const front_request_ptr& request, bool /*requeued*/)
       -> void override {
@@ -42,6 +47,7 @@
   }
 
   int ended = 0;
+  std::vector<wire::blame_command> reports;
   std::function<void()> before_choosing;
   front_request_ptr request;
 
@@ -50,6 +56,8 @@
   http_client client_;
   router router_;
   metrics metrics_;
+  crash_guard guard_{1};
+  crash_monitor crashes_;
 };
 
 }  // namespace
@@ -70,6 +78,10 @@
   CPPUNIT_TEST(missing_event_aborts_the_stream);
   CPPUNIT_TEST(timeout_ends_a_request_immediately);
   CPPUNIT_TEST(caller_disconnect_closes_the_endpoint_call);
+  CPPUNIT_TEST(lost_connection_is_recorded_as_a_crash);
+  CPPUNIT_TEST(crash_of_a_later_stage_is_not_recorded);
+  CPPUNIT_TEST(crash_after_the_first_event_counts_in_full);
+  CPPUNIT_TEST(retry_overtakes_the_record_of_a_crash);
   CPPUNIT_TEST_SUITE_END();
 
   event_loop loop_;
@@ -86,6 +98,8 @@
   http_headers headers_;
   int choices_ = 0;
   timer abort_timer_;
+  engine_profile engine_;
+  bool use_engine_ = false;
 
  public:
   auto setUp() -> void override {
@@ -111,6 +125,8 @@
     route_.latency_objective = milliseconds(200);
     route_.weighted_services = {{"app", 1}};
     budget_ = retry_budget();
+    engine_ = {};
+    use_engine_ = false;
     received_.clear();
     result_.reset();
     body_.clear();
@@ -138,6 +154,11 @@
     route_.max_attempts = 2;
   }
 
+  auto wait_for_reports() -> void {
+    const auto end = loop_.after(milliseconds(50), [this] { loop_.stop(); });
+    loop_.run();
+  }
+
   auto start_request(const exchange_ptr& call) -> void {
     auto config = std::make_shared<ingress_config>();
     config->routes = {route_};
@@ -146,6 +167,7 @@
     params.route = params.table->config().routes.data();
     params.service = "app";
     params.account = "salon";
+    if (use_engine_) params.engine = &engine_;
     params.headers = platform::decode_caller_headers(call->request().headers);
     params.arrived = boottime_clock::now();
     params.deadline = params.arrived + route_.timeout;
@@ -397,6 +419,64 @@
     CPPUNIT_ASSERT(closed);
     CPPUNIT_ASSERT_EQUAL(1, host_->ended);
   }
+
+  /// Closes connection and listener of the endpoint.
+  auto crash_endpoint(const exchange_ptr& call) -> void {
+    call->abort();
+    loop_.post([this] { endpoint_->close_listener(); });
+  }
+
+  auto lost_connection_is_recorded_as_a_crash() -> void {
+    endpoint_handler_ = [](const auto& call, auto) { call->abort(); };
+    CPPUNIT_ASSERT_EQUAL(502, send_request());
+    wait_for_reports();
+    CPPUNIT_ASSERT(host_->reports.empty());
+  }
+
+  auto crash_of_a_later_stage_is_not_recorded() -> void {
+    host_->routes().remove("e1");
+    host_->routes().upsert(
+        {"e1", "1", endpoint_address, "", "z", "app", 0, 1, 8});
+    host_->routes().upsert(
+        {"e2", "1", unreachable_address, "", "z", "app", 1, 2, 8});
+    make_stream(false);
+    engine_.layers = 2;
+    use_engine_ = true;
+    endpoint_handler_ = [](const auto& call, auto) { call->abort(); };
+    CPPUNIT_ASSERT_EQUAL(502, send_request());
+    wait_for_reports();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host_->reports.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("e2/1"), host_->reports[0].endpoint);
+  }
+
+  auto crash_after_the_first_event_counts_in_full() -> void {
+    make_stream(false);
+    endpoint_handler_ = [this](const auto& call, auto) {
+      call->start(200, http_headers().add("Request-Id", "r1"));
+      call->chunk("id: 1\ndata: a\n\n");
+      abort_timer_ =
+          loop_.after(milliseconds(20), [this, call] { crash_endpoint(call); });
+    };
+    send_request();
+    wait_for_reports();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host_->reports.size());
+    CPPUNIT_ASSERT_EQUAL(inferred_points_after_first_event,
+                         host_->reports[0].points);
+  }
+
+  auto retry_overtakes_the_record_of_a_crash() -> void {
+    route_.kind = request_kind::idempotent;
+    route_.max_attempts = 3;
+    endpoint_handler_ = [this](const auto& call, auto) {
+      crash_endpoint(call);
+    };
+    auto recorded = std::vector<std::size_t>();
+    host_->before_choosing = [&] { recorded.push_back(host_->reports.size()); };
+    send_request();
+    CPPUNIT_ASSERT(recorded.size() > 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, recorded[0]);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, recorded[1]);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(front_request_test);
--- a/test/front_server_test.cpp
+++ b/test/front_server_test.cpp
@@ -25,6 +25,7 @@
                                   {"Hostname", "h"},
                                   {"PathPrefix", path},
                                   {"Type", "idempotent"},
+                                  {"Attempts", 3},
                                   {"TimeoutMs", 2000},
                                   {"Public", is_public},
                                   {"Backend", "app"}});
@@ -57,6 +58,12 @@
       if (call->open()) reply_to(call);
   }
 
+  /// Announces a new incarnation of the endpoint.
+  auto restart_endpoint() -> void {
+    ++incarnation_;
+    endpoint_sent_ = false;
+  }
+
   bool leads = false;
   std::int64_t document = 1;
   bool withholds_text = false;  // names its document without sending it
@@ -77,7 +84,7 @@
           text.empty() ? make_document(document, document > 1 ? "new" : "old")
                        : text;
     if (!endpoint_sent_) reply.endpoints = {endpoint()};
-    reply.directory_sequence = 1;
+    reply.directory_sequence = incarnation_;
     endpoint_sent_ = true;
     reply_timer_ = loop_.after(milliseconds(10), [call, reply] {
       call->reply(200, {}, encode_wire(reply));
@@ -94,10 +101,10 @@
     call->reply(200, {}, encode_wire(part ? *part : wire::state_part{}));
   }
 
-  static auto endpoint() -> wire::endpoint_record {
+  auto endpoint() const -> wire::endpoint_record {
     wire::endpoint_record record;
     record.id = "e";
-    record.incarnation = "1";
+    record.incarnation = std::to_string(incarnation_);
     record.address = endpoint_address.text();
     record.zone = "z";
     record.pipeline = "app";
@@ -112,6 +119,7 @@
   std::vector<exchange_ptr> held_;
   bool silent_ = false;
   bool endpoint_sent_ = false;
+  int incarnation_ = 1;
 };
 
 struct answer {
@@ -148,12 +156,14 @@
   CPPUNIT_TEST(deferred_request_is_lost_at_shutdown);
   CPPUNIT_TEST(request_is_accepted_after_open_requests_were_ended);
   CPPUNIT_TEST(unreadable_document_does_not_confirm_the_one_before);
+  CPPUNIT_TEST(request_that_crashed_three_endpoints_runs_again);
   CPPUNIT_TEST_SUITE_END();
 
   event_loop loop_;
   std::unique_ptr<fake_leader> leader_;
   std::unique_ptr<http_client> client_;
   std::unique_ptr<control_client> control_;
+  std::unique_ptr<crash_monitor> crashes_;
   std::unique_ptr<http_server> endpoint_;
   std::unique_ptr<front_server> front_;
   std::optional<chart> chart_;
@@ -170,6 +180,9 @@
     options.incarnation = "1";
     options.replicas = {control_address};
     control_ = std::make_unique<control_client>(loop_, *client_, options);
+    crashes_ = std::make_unique<crash_monitor>(
+        loop_, control_->crashes(), metrics_,
+        [this](const auto& report) { control_->report_crash(report); });
     front_options front;
     front.listen = front_address;
     front.readiness = readiness_address;
@@ -177,23 +190,56 @@
     front.drain_notice = milliseconds(100);
     front.max_deferred = 2;
     front_ = std::make_unique<front_server>(loop_, front, *client_, *control_,
-                                            *chart_, metrics_);
-    endpoint_ = std::make_unique<http_server>(
-        loop_, http_limits{}, [](const exchange_ptr& call) {
-          call->reply(200, http_headers().add("Request-Id", "q"), "done");
-        });
-    CPPUNIT_ASSERT(endpoint_->listen(endpoint_address));
+                                            *crashes_, *chart_, metrics_);
+    endpoint_ = make_endpoint();
     CPPUNIT_ASSERT(front_->start());
     control_->start();
   }
   auto tearDown() -> void override {
     endpoint_.reset();
     front_.reset();
+    crashes_.reset();
     control_.reset();
     client_.reset();
     leader_.reset();
   }
 
+  /// Starts an endpoint that crashes when it gets the request `target`; returns
+  /// how often that request ran when it was sent once.
+  auto runs_until_crash(const std::string& target) -> int {
+    auto runs = 0;
+    endpoint_.reset();
+    endpoint_ = std::make_unique<http_server>(
+        loop_, http_limits{}, [&, this](const exchange_ptr& call) {
+          if (call->request().target != target)
+            return call->reply(200, http_headers().add("Request-Id", "q"), "");
+          ++runs;
+          call->abort();
+          loop_.post([this] { endpoint_->close_listener(); });
+        });
+    CPPUNIT_ASSERT(endpoint_->listen(endpoint_address));
+    send(target);
+    restart_endpoint();
+    return runs;
+  }
+
+  auto restart_endpoint() -> void {
+    endpoint_.reset();
+    endpoint_ = make_endpoint();
+    leader_->restart_endpoint();
+    wait(milliseconds(50));
+  }
+
+  static auto reply_done(const exchange_ptr& call) -> void {
+    call->reply(200, http_headers().add("Request-Id", "q"), "done");
+  }
+  auto make_endpoint() -> std::unique_ptr<http_server> {
+    auto server =
+        std::make_unique<http_server>(loop_, http_limits{}, &reply_done);
+    CPPUNIT_ASSERT(server->listen(endpoint_address));
+    return server;
+  }
+
   /// Sends one request and waits for its answer.
   auto send(const http_call& call) -> answer {
     http_client caller(loop_);
@@ -399,6 +445,20 @@
     CPPUNIT_ASSERT(result.elapsed < milliseconds(300));
   }
 
+  auto request_that_crashed_three_endpoints_runs_again() -> void {
+    receive_document();
+    auto runs = 0;
+    for (int arrival = 0; arrival < 4; ++arrival) {
+      runs += runs_until_crash("/x/1");
+      CPPUNIT_ASSERT_EQUAL(200, send("/x/2").status);
+    }
+    CPPUNIT_ASSERT_EQUAL(3, runs);
+    const auto result = send("/x/1");
+    CPPUNIT_ASSERT_EQUAL(503, result.status);
+    CPPUNIT_ASSERT(result.headers.find("Retry-After"));
+    CPPUNIT_ASSERT(result.elapsed < milliseconds(100));
+  }
+
   /// The process stops a moment later, also during the drain notice.
   auto request_is_accepted_after_open_requests_were_ended() -> void {
     receive_document();
