Back off from an endpoint that is down and has no substitute

An ejected endpoint is used if a layer has no other holder, and a connection that was not made uses up no attempt, so nothing slowed the retries.

--- a/src/route.cpp
+++ b/src/route.cpp
@@ -18,6 +18,9 @@
 /// 100% is added so that the VMs do not retry at the same time.
 constexpr auto base_refusal_backoff = milliseconds(5);
 constexpr auto max_refusal_backoff = milliseconds(500);
+/// Back-off of an endpoint that is down; it is used although it is ejected if a
+/// layer has no other holder.
+constexpr auto max_down_backoff = milliseconds(100);
 /// Token bucket depth for cross-zone transfers, in seconds of the rate.
 constexpr double cross_zone_burst_s = 1;
 constexpr std::size_t max_slow_links = 20000;
@@ -469,7 +472,12 @@
           eject(entry, now);
         break;
       case dispatch_result::down:
-        if (is_failed_endpoint) eject(entry, now);
+        if (!is_failed_endpoint) break;
+        eject(entry, now);
+        entry.backoff_until =
+            now +
+            std::min<duration>(refusal_backoff(entry.consecutive_refusals++),
+                               max_down_backoff);
         break;
       case dispatch_result::abandoned:
         break;
--- a/test/route_test.cpp
+++ b/test/route_test.cpp
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(crashed_endpoint_is_ejected_immediately);
   CPPUNIT_TEST(failures_eject_a_limited_share);
   CPPUNIT_TEST(ejected_endpoint_is_used_if_a_layer_has_no_other_holder);
+  CPPUNIT_TEST(endpoint_without_a_listener_is_tried_again_at_once);
   CPPUNIT_TEST(endpoint_that_stalls_each_chain_is_ejected);
   CPPUNIT_TEST(poison_suspects_do_not_share_an_endpoint);
   CPPUNIT_TEST(removed_endpoint_gets_no_requests);
@@ -380,6 +381,23 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{7}, chosen_ids.size());
   }
 
+  auto endpoint_without_a_listener_is_tried_again_at_once() -> void {
+    router routes({}, 1);
+    routes.upsert(runner("a", 0, 32));
+    auto sent = 0;
+    for (int ms = 0; ms < 2000; ++ms) {
+      now_ += milliseconds(1);
+      const auto stages =
+          routes.choose_with_fallback(full_chain_request(), now_);
+      if (!stages) continue;
+      ++sent;
+      routes.dispatch_started(*stages, false, 0, now_);
+      routes.dispatch_ended(*stages, false, dispatch_result::down, "a", now_);
+    }
+    CPPUNIT_ASSERT(sent > 5);
+    CPPUNIT_ASSERT(sent < 40);
+  }
+
   auto ejected_endpoint_is_used_if_a_layer_has_no_other_holder() -> void {
     router routes({}, 1);
     routes.upsert(runner("only", 0, 32));
