--- a/test/front_request_test.cpp
+++ b/test/front_request_test.cpp
@@ -81,6 +81,8 @@
   CPPUNIT_TEST(lost_connection_is_recorded_as_a_crash);
   CPPUNIT_TEST(crash_of_a_later_stage_is_not_recorded);
   CPPUNIT_TEST(crash_after_the_first_event_counts_in_full);
+  CPPUNIT_TEST(chain_repairs_feed_endpoints_to_a_poison_request);
+  CPPUNIT_TEST(stall_of_a_crashed_stage_is_not_recorded);
   CPPUNIT_TEST(retry_overtakes_the_record_of_a_crash);
   CPPUNIT_TEST_SUITE_END();
 
@@ -464,6 +466,56 @@
                          host_->reports[0].points);
   }
 
+  /// A chain of e1, which listens, and e2, which does not.
+  auto make_chain_with_crashed_stage() -> void {
+    make_stream(true);
+    engine_.layers = 2;
+    use_engine_ = true;
+    add_crashed_stage("e2");
+  }
+  auto add_crashed_stage(const std::string& id) -> void {
+    host_->routes().upsert(
+        {id, "1", unreachable_address, "", "z", "app", 1, 2, 8});
+  }
+
+  auto chain_repairs_feed_endpoints_to_a_poison_request() -> void {
+    make_chain_with_crashed_stage();
+    route_.max_attempts = 1;
+    auto repairs = 0;
+    std::vector<exchange_ptr> held;
+    endpoint_handler_ = [&, this](const auto& call, auto) {
+      if (call->request().path == "/order") {
+        ++repairs;
+        call->reply(202, {}, "");
+        return fail_stage_later(repairs + 2);
+      }
+      held.push_back(call);
+      fail_stage_later(2);
+    };
+    route_.timeout = milliseconds(1000);
+    send_request();
+    CPPUNIT_ASSERT_EQUAL(2, repairs);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, host_->reports.size());
+  }
+  /// Replaces the stage eN by one that has crashed, too.
+  auto fail_stage_later(int number) -> void {
+    abort_timer_ = loop_.after(milliseconds(10), [this, number] {
+      const auto id = "e" + std::to_string(number);
+      host_->routes().remove(id);
+      add_crashed_stage("e" + std::to_string(number + 1));
+      if (host_->request) host_->request->handle_endpoint_failure(id);
+    });
+  }
+
+  auto stall_of_a_crashed_stage_is_not_recorded() -> void {
+    make_chain_with_crashed_stage();
+    std::vector<exchange_ptr> held;
+    endpoint_handler_ = [&](const auto& call, auto) { held.push_back(call); };
+    send_request();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host_->reports.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("e2/1"), host_->reports[0].endpoint);
+  }
+
   auto retry_overtakes_the_record_of_a_crash() -> void {
     route_.kind = request_kind::idempotent;
     route_.max_attempts = 3;
