--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -259,6 +259,8 @@
                renewals.received_bytes);
   set_renewals("pollenloft_renewal_bytes_total", "interrupted",
                renewals.interrupted_bytes);
+  metrics_.set("pollenloft_crash_suspects",
+               static_cast<double>(crashes_.guard().size()));
   metrics_.set("pollenloft_ready", ready() ? 1 : 0);
   metrics_.set("pollenloft_endpoints_known",
                static_cast<double>(router_.size()));
