Hold single crash reports in memory at the leader

The leader commits the crashes of a request from the second one on (crash_inbox); a new leader forgets single ones. poison_test.

--- a/include/pollenloft/poison.hpp
+++ b/include/pollenloft/poison.hpp
@@ -82,6 +82,27 @@
   std::int64_t suspects_digest_ = 0;
 };
 
+/// Reports that the leader holds in memory until they are worth a log entry.
+/// Most requests that are on a crashed endpoint run to the end elsewhere, so a
+/// single crash is not committed: a new leader may forget it.
+class crash_inbox {
+ public:
+  explicit crash_inbox(crash_limits limits = {}) : limits_(limits) {}
+
+  /// Takes a report and returns those to commit now: all reports of a request
+  /// from `suspect_threshold` on, or a survival that the committed records
+  /// need.
+  auto add(const wire::blame_command& report, const crash_ledger& committed)
+      -> std::vector<wire::blame_command>;
+  auto size() const -> std::size_t { return held_.size(); }
+
+ private:
+  auto expire(milliseconds now) -> void;
+
+  crash_limits limits_;
+  std::map<std::int64_t, std::vector<wire::blame_command>> held_;
+};
+
 /// Decides on an entry VM whether a request may run, by the leader's records
 /// and by crashes on this VM that the leader may not have recorded yet.
 ///
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -901,18 +901,35 @@
   auto handle_crash_report(const exchange_ptr& call) -> void {
     auto report = decode_body<wire::blame_command>(call);
     if (!report) return;
-    wire::command command;
-    command.__isset.blame = true;
-    command.blame = std::move(*report);
-    command.blame.at_ms = wall_clock().count();
-    log_event(log_level::info, "crash.received",
-              {{"fingerprint", fingerprint_text(static_cast<std::uint64_t>(
-                                   command.blame.fingerprint))},
-               {"endpoint", command.blame.endpoint},
-               {"points", command.blame.points},
-               {"survived", command.blame.survived ? 1 : 0},
-               {"leads", is_active_leader() ? 1 : 0}});
-    commit_and_acknowledge(call, command);
+    report->at_ms = wall_clock().count();
+    if (!is_active_leader()) {
+      wire::settle_reply response;
+      response.leader = leader_address();
+      return wire_reply(call, response);
+    }
+    const auto due = crash_inbox_.add(*report, state_.crashes());
+    log_event(
+        log_level::info, "crash.received",
+        {{"fingerprint",
+          fingerprint_text(static_cast<std::uint64_t>(report->fingerprint))},
+         {"endpoint", report->endpoint},
+         {"points", report->points},
+         {"survived", report->survived ? 1 : 0},
+         {"committing", due.size()}});
+    if (due.empty()) {
+      wire::settle_reply response;
+      response.accepted = true;
+      return wire_reply(call, response);
+    }
+    for (std::size_t i = 0; i < due.size(); ++i) {
+      wire::command command;
+      command.__isset.blame = true;
+      command.blame = due[i];
+      if (i + 1 == due.size())
+        commit_and_acknowledge(call, command);
+      else
+        submit(command, [](const auto& /*reply*/) {});
+    }
   }
 
   /// Commits a command and replies whether it was committed.
@@ -1070,6 +1087,7 @@
   bool lease_wait_disabled_;
   replica replica_;
   control_state state_;
+  crash_inbox crash_inbox_;
   endpoint_directory directory_;
   directory_store directory_store_;
   layer_placer placer_;
--- a/src/poison.cpp
+++ b/src/poison.cpp
@@ -151,6 +151,39 @@
   suspects_digest_ = static_cast<std::int64_t>(digest);
 }
 
+auto crash_inbox::add(const wire::blame_command& report,
+                      const crash_ledger& committed)
+    -> std::vector<wire::blame_command> {
+  const auto fingerprint = static_cast<std::uint64_t>(report.fingerprint);
+  const auto committed_points = committed.points(fingerprint);
+  if (report.survived) {
+    held_.erase(report.fingerprint);
+    if (committed_points == 0) return {};
+    return {report};
+  }
+  if (held_.size() >= limits_.max_records) expire(milliseconds(report.at_ms));
+  if (held_.size() >= limits_.max_records) return {};
+  auto& reports = held_[report.fingerprint];
+  const auto repeated = std::any_of(
+      reports.begin(), reports.end(),
+      [&](const auto& earlier) { return earlier.endpoint == report.endpoint; });
+  if (!repeated) reports.push_back(report);
+  auto points = committed_points;
+  for (const auto& each : reports)
+    points += each.points;
+  if (points < suspect_threshold) return {};
+  auto due = std::move(reports);
+  held_.erase(report.fingerprint);
+  return due;
+}
+
+auto crash_inbox::expire(milliseconds now) -> void {
+  std::erase_if(held_, [&](const auto& item) {
+    return milliseconds(item.second.back().at_ms) + limits_.suspect_retention <
+           now;
+  });
+}
+
 // --- decisions of an entry VM ------------------------------------------------
 
 auto crash_guard::suspect::points() const -> int {
--- a/test/poison_test.cpp
+++ b/test/poison_test.cpp
@@ -55,6 +55,8 @@
   CPPUNIT_TEST(equal_records_explain_each_other);
   CPPUNIT_TEST(records_grow_without_bound);
   CPPUNIT_TEST(record_of_many_points_is_evicted_first);
+  CPPUNIT_TEST(single_crash_is_committed);
+  CPPUNIT_TEST(reports_held_back_are_not_committed_with_the_second);
   CPPUNIT_TEST(restored_ledger_forgets_suspects);
   CPPUNIT_TEST(cleared_request_stays_held_back);
   CPPUNIT_TEST(crash_after_admission_does_not_stop_the_request);
@@ -169,6 +171,32 @@
     CPPUNIT_ASSERT_EQUAL(3 * points, ledger.points(killer));
   }
 
+  auto single_crash_is_committed() -> void {
+    crash_inbox inbox;
+    crash_ledger committed;
+    for (std::uint64_t i = 0; i < 100; ++i)
+      CPPUNIT_ASSERT(inbox.add(crash(i, "a"), committed).empty());
+    CPPUNIT_ASSERT(inbox.add(crash(1, "a"), committed).empty());
+    for (std::uint64_t i = 0; i < 100; ++i)
+      CPPUNIT_ASSERT(inbox.add(survival(i), committed).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, inbox.size());
+  }
+
+  auto reports_held_back_are_not_committed_with_the_second() -> void {
+    crash_inbox inbox;
+    crash_ledger committed;
+    inbox.add(crash(killer, "a"), committed);
+    auto due = inbox.add(crash(killer, "b"), committed);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, due.size());
+    for (const auto& report : due)
+      committed.apply(report);
+    due = inbox.add(crash(killer, "c"), committed);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, due.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         inbox.add(survival(killer), committed).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, inbox.size());
+  }
+
   auto restored_ledger_forgets_suspects() -> void {
     crash_ledger ledger;
     for (const auto* endpoint : {"a", "b", "c"})
