List and clear requests that crashed endpoints

pollenloft crashes shows fingerprint, account, points and crashed endpoints of the requests with two crashes or more; crashes clear lets one run again and is recorded in the audit trail. check front-poison clears the request and sees it run again.

--- a/include/pollenloft/control.hpp
+++ b/include/pollenloft/control.hpp
@@ -111,7 +111,9 @@
   auto apply_claim(wire::claim_record claim) -> wire::claim_reply;
   auto apply_settle(const wire::settle_command& settle) -> void;
   auto apply_abandon(const wire::abandon_command& abandon) -> void;
+  auto apply_crash_report(const wire::blame_command& report) -> void;
   auto apply_document(wire::document_command document) -> void;
+  auto add_audit_record(wire::audit_record record) -> void;
   auto expire(milliseconds now) -> void;
   auto evict_oldest_settled_claim() -> bool;
   auto record_patch(const wire::patch_command& patch, const patch_reply& reply)
--- a/include/pollenloft/poison.hpp
+++ b/include/pollenloft/poison.hpp
@@ -22,6 +22,8 @@
 
 /// A fingerprint as it appears in logs and in operators' commands.
 auto fingerprint_text(std::uint64_t fingerprint) -> std::string;
+/// Empty, see `last_error`, if the text is not a fingerprint.
+auto parse_fingerprint(const std::string& text) -> std::optional<std::uint64_t>;
 
 /// Points against a request for each endpoint that crashes while running it. A
 /// crash before the first token counts twice: a poison request causes one on
--- a/src/cli.cpp
+++ b/src/cli.cpp
@@ -43,6 +43,8 @@
     "  status                 the control role and the VMs\n"
     "  endpoints              the registered endpoints\n"
     "  services               the services\n"
+    "  crashes                requests that crashed endpoints\n"
+    "  crashes clear FINGERPRINT  let such a request run again\n"
     "  audit                  the changes, their authors and results\n"
     "  drain VM | undrain VM  take a VM out of service, or back into it\n"
     "  members LIST           set the control replicas, such as 1,2,3";
@@ -173,6 +175,14 @@
       return print_list("/v1/endpoints", {"id", "service", "kind", "zone",
                                           "layers", "state", "owner"});
     if (verb == "services") return print_services();
+    if (verb == "crashes" && arguments.size() == 1)
+      return print_list("/v1/crashes", {"fingerprint", "account", "points",
+                                        "held_back", "endpoints"});
+    if (verb == "crashes" && arguments.size() == 3 && arguments[1] == "clear")
+      return print_response(client_.call(
+          "POST", "/v1/crashes/clear",
+          json{{"fingerprint", arguments[2]}, {"who", values_.text("who")}}
+              .dump()));
     if (verb == "audit")
       return print_list("/v1/audit",
                         {"at_ms", "who", "what", "base", "version", "result"});
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -38,7 +38,7 @@
   if (command->__isset.claim) return apply_claim(std::move(command->claim));
   if (command->__isset.settle) apply_settle(command->settle);
   if (command->__isset.abandon) apply_abandon(command->abandon);
-  if (command->__isset.blame) crashes_.apply(command->blame);
+  if (command->__isset.blame) apply_crash_report(command->blame);
   if (command->__isset.document) apply_document(std::move(command->document));
   return {};
 }
@@ -101,8 +101,7 @@
     patch_results_.erase(patch_result_order_.front());
     patch_result_order_.pop_front();
   }
-  audit_.push_back(std::move(record));
-  if (audit_.size() > limits_.max_audit_records) audit_.pop_front();
+  add_audit_record(std::move(record));
 }
 
 auto control_state::patches_after(std::uint64_t version) const
@@ -215,6 +214,27 @@
   open_by_holder_.erase(holder);
 }
 
+auto control_state::apply_crash_report(const wire::blame_command& report)
+    -> void {
+  crashes_.apply(report);
+  if (report.who.empty()) return;
+  wire::audit_record record;
+  record.at_ms = report.at_ms;
+  record.who = report.who;
+  record.what =
+      "crashes cleared " +
+      fingerprint_text(static_cast<std::uint64_t>(report.fingerprint));
+  record.base = version_of(config_);
+  record.version = record.base;
+  record.result = "accepted";
+  add_audit_record(std::move(record));
+}
+
+auto control_state::add_audit_record(wire::audit_record record) -> void {
+  audit_.push_back(std::move(record));
+  if (audit_.size() > limits_.max_audit_records) audit_.pop_front();
+}
+
 /// The highest number wins, whatever the order of the commands. A frame that
 /// cannot be decoded is ignored, as by every other replica.
 auto control_state::apply_document(wire::document_command document) -> void {
@@ -228,8 +248,7 @@
   record.base = document_.number;
   record.version = document.number;
   record.result = "accepted";
-  audit_.push_back(std::move(record));
-  if (audit_.size() > limits_.max_audit_records) audit_.pop_front();
+  add_audit_record(std::move(record));
   document_ = {document.number, std::move(*text)};
 }
 
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -620,6 +620,9 @@
     if (path == "/v1/config/history")
       return json_reply(call, 200, history_view(state_));
     if (path == "/v1/audit") return json_reply(call, 200, audit_view(state_));
+    if (path == "/v1/crashes")
+      return json_reply(call, 200, crashes_view(state_.crashes()));
+    if (post && path == "/v1/crashes/clear") return handle_clear(call);
     if (path == "/v1/endpoints")
       return json_reply(call, 200, endpoints_view(directory_));
     json_reply(call, 404, {{"error", "no such resource: " + path}});
@@ -932,6 +935,30 @@
     }
   }
 
+  /// An operator lets a request run again that crashed endpoints.
+  auto handle_clear(const exchange_ptr& call) -> void {
+    const auto body = json::parse(call->request().body, nullptr, false);
+    const auto named = body.is_object() && body.contains("fingerprint") &&
+                       body["fingerprint"].is_string();
+    const auto fingerprint =
+        named ? parse_fingerprint(body["fingerprint"].get<std::string>())
+              : std::nullopt;
+    if (!fingerprint)
+      return json_reply(
+          call, 400, {{"error", "a fingerprint of 16 hex digits is needed"}});
+    wire::command command;
+    command.__isset.blame = true;
+    command.blame.fingerprint = static_cast<std::int64_t>(*fingerprint);
+    command.blame.survived = true;
+    command.blame.at_ms = wall_clock().count();
+    command.blame.who = body.value("who", "operator");
+    crash_inbox_.add(command.blame, state_.crashes());
+    submit(command, [this, call](const auto& reply) {
+      if (!reply) return reply_not_leader(call);
+      json_reply(call, 200, {{"cleared", true}});
+    });
+  }
+
   /// Commits a command and replies whether it was committed.
   auto commit_and_acknowledge(const exchange_ptr& call,
                               const wire::command& command) -> void {
--- a/src/crash_monitor.cpp
+++ b/src/crash_monitor.cpp
@@ -71,6 +71,7 @@
   log_event(log_level::warning, "crash.reported",
             {{"id", request.id},
              {"fingerprint", fingerprint_text(request.fingerprint)},
+             {"account", request.account},
              {"endpoint", name},
              {"points", request.points},
              {"known_points", guard_.points(request.fingerprint)}});
@@ -78,6 +79,7 @@
   wire::blame_command report;
   report.fingerprint = static_cast<std::int64_t>(request.fingerprint);
   report.endpoint = name;
+  report.account = request.account;
   report.points = request.points;
   report_(report);
 }
--- a/src/crash_monitor.hpp
+++ b/src/crash_monitor.hpp
@@ -16,7 +16,8 @@
 
 /// A request whose dispatch was interrupted.
 struct interrupted_request {
-  std::string id;  ///< for the log
+  std::string id;       ///< for the log
+  std::string account;  ///< may be empty
   std::uint64_t fingerprint = 0;
   int points = 0;  ///< for a crash
 };
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -355,18 +355,19 @@
                           : inferred_points_before_first_event;
   const auto attempt = lifecycle_.attempt();
   const auto dispatch_active = dispatch_active_;
-  host_.crashes().attribute(
-      {params_.headers.request_id, params_.fingerprint, points}, stages,
-      [self = weak_from_this(), attempt, dispatch_active,
-       next = std::move(next)](bool crashed) {
-        auto request = self.lock();
-        if (!request || request->ended() ||
-            request->lifecycle_.attempt() != attempt ||
-            request->dispatch_active_ != dispatch_active)
-          return;
-        if (crashed) request->poison_suspect_ = true;
-        next();
-      });
+  host_.crashes().attribute({params_.headers.request_id, params_.account,
+                             params_.fingerprint, points},
+                            stages,
+                            [self = weak_from_this(), attempt, dispatch_active,
+                             next = std::move(next)](bool crashed) {
+                              auto request = self.lock();
+                              if (!request || request->ended() ||
+                                  request->lifecycle_.attempt() != attempt ||
+                                  request->dispatch_active_ != dispatch_active)
+                                return;
+                              if (crashed) request->poison_suspect_ = true;
+                              next();
+                            });
 }
 
 auto front_request::stopped_by_crashes() const -> bool {
--- a/src/operator_views.cpp
+++ b/src/operator_views.cpp
@@ -28,6 +28,19 @@
   return rows;
 }
 
+auto crashes_view(const crash_ledger& crashes) -> json {
+  auto rows = json::array();
+  for (const auto& record : crashes.suspects())
+    rows.push_back({{"fingerprint", fingerprint_text(static_cast<std::uint64_t>(
+                                        record.fingerprint))},
+                    {"account", record.account},
+                    {"points", record.points},
+                    {"held_back", record.points >= poison_threshold},
+                    {"last_crash_ms", record.at_ms},
+                    {"endpoints", record.endpoints}});
+  return rows;
+}
+
 auto endpoints_view(const endpoint_directory& directory) -> json {
   constexpr std::array<const char*, 3> states{"up", "leaving", "gone"};
   auto rows = json::array();
--- a/src/operator_views.hpp
+++ b/src/operator_views.hpp
@@ -15,6 +15,10 @@
 /// The audit trail, oldest first: at_ms, who, what, base, version, result.
 auto audit_view(const control_state& state) -> nlohmann::json;
 
+/// The requests with at least two recorded crashes, by fingerprint: account,
+/// points, held_back, crashed endpoints, last_crash_ms.
+auto crashes_view(const crash_ledger& crashes) -> nlohmann::json;
+
 /// All known endpoints: id, service, kind, zone, address, layers, owner,
 /// unreachable, state.
 auto endpoints_view(const endpoint_directory& directory) -> nlohmann::json;
--- a/src/poison.cpp
+++ b/src/poison.cpp
@@ -18,6 +18,8 @@
 constexpr auto local_retention = std::chrono::minutes(10);
 constexpr std::size_t max_local_suspects = 4096;
 
+constexpr int hex_digits = 16;  // of a fingerprint
+
 auto hold_time(int points) -> duration {
   auto time = duration(base_hold_time);
   const auto further_crashes =
@@ -42,12 +44,21 @@
 }
 
 auto fingerprint_text(std::uint64_t fingerprint) -> std::string {
-  constexpr int hex_digits = 16;
   std::ostringstream text;
   text << std::hex << std::setfill('0') << std::setw(hex_digits) << fingerprint;
   return text.str();
 }
 
+auto parse_fingerprint(const std::string& text)
+    -> std::optional<std::uint64_t> {
+  const auto valid =
+      text.size() == hex_digits &&
+      text.find_first_not_of("0123456789abcdef") == std::string::npos;
+  if (!valid) return fail("fingerprint.parse", text, "not 16 hex digits");
+  constexpr int base = 16;
+  return std::stoull(text, nullptr, base);
+}
+
 // --- records of the control role ---------------------------------------------
 
 auto crash_ledger::apply(const wire::blame_command& report) -> void {
@@ -63,6 +74,7 @@
   if (endpoints.size() >= limits_.max_endpoints)
     endpoints.erase(endpoints.begin());
   endpoints.push_back(report.endpoint);
+  record.account = report.account;
   record.points += report.points;
   record.at_ms = report.at_ms;
   evict();
@@ -141,6 +153,7 @@
     suspects_.back().points = points;
     suspects_.back().at_ms = record->at_ms;
     suspects_.back().endpoints = record->endpoints;
+    suspects_.back().account = record->account;
   }
   std::uint64_t digest = 0;
   for (const auto& suspect : suspects_)
--- a/support/pollenloft.thrift
+++ b/support/pollenloft.thrift
@@ -38,10 +38,11 @@
 // Settles the open claims of a VM that is gone as unknown.
 struct abandon_command { 1: string holder, 2: i64 at_ms }
 // A request was on another endpoint when that crashed. With `survived`, an
-// endpoint ran it to the end, and what was recorded against it is dropped.
+// endpoint ran it to the end, or the operator `who` cleared it, and what was
+// recorded against it is dropped.
 struct blame_command {
   1: i64 fingerprint, 2: string endpoint, 3: i64 at_ms, 4: i32 points,
-  5: bool survived
+  5: bool survived, 6: string account, 7: string who
 }
 
 // Replaces the routing document if `number` is higher than the current one.
@@ -67,7 +68,7 @@
 // then.
 struct blame_record {
   1: i64 fingerprint, 2: list<string> endpoints, 3: i64 at_ms, 4: i32 points,
-  5: i64 age_ms
+  5: i64 age_ms, 6: string account
 }
 
 struct control_snapshot {
