Count endpoints that were lost by one cause once

A dispatch is charged once, and only with an endpoint that this VM had not seen crashed before it began. front_request_test endpoint_that_had_crashed_before_counts fails without it.

--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -485,7 +485,7 @@
     for (const auto& stage : stages_)
       if (stage.endpoint->id == endpoint)
         host_.crashes().record_crash(
-            {dispatch_id_, params_.account, params_.fingerprint, points},
+            {dispatch_id_, params_.account, params_.fingerprint, points, {}},
             *stage.endpoint);
   }
   step(request_event::broken);
--- a/src/crash_monitor.cpp
+++ b/src/crash_monitor.cpp
@@ -8,6 +8,9 @@
 constexpr auto probe_delay = milliseconds(5);
 /// A VM that is gone or cut off does not answer: that is not a crash.
 constexpr auto probe_timeout = milliseconds(100);
+/// Crashed endpoints stay in the directory for less than this.
+constexpr auto crash_memory = std::chrono::minutes(1);
+constexpr std::size_t max_known_crashes = 1024;
 
 /// A process that starts again under its id is another endpoint.
 auto incarnation_name(const endpoint_view& endpoint) -> std::string {
@@ -52,7 +55,8 @@
     const auto endpoint = stage.endpoint;
     detect_crash(endpoint->address,
                  [this, request, endpoint, state, done](bool crashed) {
-                   if (crashed && !state->crashed) {
+                   if (crashed && !state->crashed &&
+                       first_seen_crashed(*endpoint) >= request.exposed_since) {
                      state->crashed = true;
                      record_crash(request, *endpoint);
                    }
@@ -61,6 +65,16 @@
   }
 }
 
+auto crash_monitor::first_seen_crashed(const endpoint_view& endpoint)
+    -> instant {
+  const auto now = boottime_clock::now();
+  if (crashed_at_.size() >= max_known_crashes)
+    std::erase_if(crashed_at_, [&](const auto& item) {
+      return now - item.second > crash_memory;
+    });
+  return crashed_at_.try_emplace(incarnation_name(endpoint), now).first->second;
+}
+
 auto crash_monitor::record_crash(const interrupted_request& request,
                                  const endpoint_view& endpoint) -> void {
   if (disabled_) return;
--- a/src/crash_monitor.hpp
+++ b/src/crash_monitor.hpp
@@ -4,6 +4,7 @@
 #ifndef POLLENLOFT_CRASH_MONITOR_HPP
 #define POLLENLOFT_CRASH_MONITOR_HPP
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -20,6 +21,9 @@
   std::string account;  ///< may be empty
   std::uint64_t fingerprint = 0;
   int points = 0;  ///< for a crash
+  /// Since when it has been on its endpoints; one that was known to have
+  /// crashed before is not its doing.
+  instant exposed_since{};
 };
 
 class crash_monitor {
@@ -41,7 +45,7 @@
   auto detect_crash(const socket_address& endpoint, result_handler done)
       -> void;
   /// Checks the endpoints of an interrupted dispatch, records a crash against
-  /// the request and calls `done` with whether there was one. Endpoints that
+  /// the request and calls `done` with whether it recorded one. Endpoints that
   /// crashed together count once: they were lost by one cause.
   auto attribute(const interrupted_request& request, const chain& stages,
                  result_handler done) -> void;
@@ -52,11 +56,15 @@
   auto record_survival(std::uint64_t fingerprint) -> void;
 
  private:
+  /// Notes when the endpoint was first seen to have crashed, and returns that.
+  auto first_seen_crashed(const endpoint_view& endpoint) -> instant;
+
   event_loop& loop_;
   crash_guard& guard_;
   metrics& metrics_;
   report_sink report_;
   listener_prober prober_;
+  std::map<std::string, instant> crashed_at_;  // by id and incarnation
   bool disabled_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/test/front_request_test.cpp
+++ b/test/front_request_test.cpp
@@ -10,6 +10,7 @@
 const socket_address front_address{"127.0.9.2", 18081};
 const socket_address endpoint_address{"127.0.9.3", 18082};
 const socket_address unreachable_address{"127.0.9.4", 18083};
+const socket_address other_unreachable_address{"127.0.9.4", 18084};
 
 /// A VM that dispatches queued requests immediately.
 class test_host : public front_host {
@@ -83,6 +84,8 @@
   CPPUNIT_TEST(crash_after_the_first_event_counts_in_full);
   CPPUNIT_TEST(chain_repairs_feed_endpoints_to_a_poison_request);
   CPPUNIT_TEST(stall_of_a_crashed_stage_is_not_recorded);
+  CPPUNIT_TEST(endpoints_that_crash_together_count_each);
+  CPPUNIT_TEST(endpoint_that_had_crashed_before_counts);
   CPPUNIT_TEST(retry_overtakes_the_record_of_a_crash);
   CPPUNIT_TEST_SUITE_END();
 
@@ -102,6 +105,7 @@
   timer abort_timer_;
   engine_profile engine_;
   bool use_engine_ = false;
+  std::uint64_t fingerprint_ = 1;
 
  public:
   auto setUp() -> void override {
@@ -129,6 +133,7 @@
     budget_ = retry_budget();
     engine_ = {};
     use_engine_ = false;
+    fingerprint_ = 1;
     received_.clear();
     result_.reset();
     body_.clear();
@@ -170,6 +175,7 @@
     params.service = "app";
     params.account = "salon";
     if (use_engine_) params.engine = &engine_;
+    params.fingerprint = fingerprint_;
     params.headers = platform::decode_caller_headers(call->request().headers);
     params.arrived = boottime_clock::now();
     params.deadline = params.arrived + route_.timeout;
@@ -516,6 +522,36 @@
     CPPUNIT_ASSERT_EQUAL(std::string("e2/1"), host_->reports[0].endpoint);
   }
 
+  /// The first failure is reported before the dispatch stalls.
+  auto endpoints_that_crash_together_count_each() -> void {
+    make_chain_with_crashed_stage();
+    engine_.layers = 3;
+    host_->routes().upsert(
+        {"e3", "1", other_unreachable_address, "", "z", "app", 2, 3, 8});
+    std::vector<exchange_ptr> held;
+    endpoint_handler_ = [&, this](const auto& call, auto) {
+      held.push_back(call);
+      abort_timer_ = loop_.after(milliseconds(10), [this] {
+        host_->request->handle_endpoint_failure("e3");
+      });
+    };
+    send_request();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host_->reports.size());
+  }
+
+  auto endpoint_that_had_crashed_before_counts() -> void {
+    make_chain_with_crashed_stage();
+    route_.resumable = false;
+    endpoint_handler_ = [](const auto& call, auto) { call->abort(); };
+    send_request();
+    wait_for_reports();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host_->reports.size());
+    fingerprint_ = 2;
+    send_request();
+    wait_for_reports();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host_->reports.size());
+  }
+
   auto retry_overtakes_the_record_of_a_crash() -> void {
     route_.kind = request_kind::idempotent;
     route_.max_attempts = 3;
