Charge a dispatch with one crash also when several are noticed at once

The charge belongs to the time that the request was on the same stages (exposure). front_request_test endpoints_that_crash_together_count_each fails without it. The leader sends changed lists of suspects every 200 ms at most, 32 requests with 8 endpoints each, so that many crashes do not multiply with the entry VMs.

--- a/include/pollenloft/poison.hpp
+++ b/include/pollenloft/poison.hpp
@@ -48,8 +48,8 @@
   milliseconds poison_retention{std::chrono::hours(1)};  ///< at the threshold
   /// Beyond this, the oldest of the records with the fewest points is evicted.
   std::size_t max_records = 4096;
-  std::size_t max_endpoints = 16;  ///< the latest ones of each record
-  std::size_t max_suspects = 64;   ///< sent to entry VMs
+  std::size_t max_endpoints = 8;  ///< the latest ones of each record
+  std::size_t max_suspects = 32;  ///< sent to entry VMs
 };
 
 /// The crashes recorded against requests, kept by the control role. It is
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -45,6 +45,8 @@
 /// Time that a replica waits for a requested version to be committed. Followers
 /// learn of a commit with the leader's next message.
 constexpr auto state_wait_timeout = milliseconds(150);
+/// Least time between two lists of suspects.
+constexpr auto suspects_publish_interval = milliseconds(200);
 /// Share of the link that bulk transfers may use; replication and heartbeats
 /// need the rest.
 constexpr double bulk_link_share = 0.5;
@@ -338,6 +340,7 @@
       directory_store_.tick(now, wall_clock());
     }
     request_membership(now);
+    publish_suspects(now);
     reply_to_renewals(now);
     reply_to_state_requests(now);
     reply_to_patches(now);
@@ -469,6 +472,7 @@
     command_reply reply;
     if (entry.kind == entry_kind::command) reply = state_.apply(entry.data);
     publish_document();
+    publish_suspects(boottime_clock::now());
     const auto found = pending_entries_.find(entry.index);
     if (found != pending_entries_.end()) {
       auto pending = std::move(found->second);
@@ -700,7 +704,18 @@
            request.term != static_cast<std::int64_t>(replica_.term()) ||
            request.directory_sequence != directory_.sequence() ||
            (request.tracks_suspects &&
-            request.suspects_digest != state_.crashes().suspects_digest());
+            request.suspects_digest != suspects_digest_);
+  }
+
+  /// Many crashes at once are sent to the VMs together.
+  auto publish_suspects(instant now) -> void {
+    if (now < suspects_published_at_ + suspects_publish_interval ||
+        suspects_digest_ == state_.crashes().suspects_digest())
+      return;
+    suspects_ = state_.crashes().suspects();
+    suspects_digest_ = state_.crashes().suspects_digest();
+    suspects_published_at_ = now;
+    reply_task_.schedule();
   }
 
   // --- transfer of state texts ---------------------------------------------
@@ -829,12 +844,11 @@
 
   auto add_suspects(wire::renew_reply& reply,
                     const wire::renew_request& request) const -> void {
-    const auto& crashes = state_.crashes();
-    reply.suspects_digest = crashes.suspects_digest();
+    reply.suspects_digest = suspects_digest_;
     if (request.tracks_suspects &&
         request.suspects_digest == reply.suspects_digest)
       return;
-    reply.blames = crashes.suspects();
+    reply.blames = suspects_;
     const auto now_ms = wall_clock().count();
     for (auto& record : reply.blames)
       record.age_ms = std::max<std::int64_t>(0, now_ms - record.at_ms);
@@ -1115,6 +1129,9 @@
   replica replica_;
   control_state state_;
   crash_inbox crash_inbox_;
+  std::vector<wire::blame_record> suspects_;  // as published
+  std::int64_t suspects_digest_ = 0;
+  instant suspects_published_at_{};
   endpoint_directory directory_;
   directory_store directory_store_;
   layer_placer placer_;
--- a/src/crash_monitor.cpp
+++ b/src/crash_monitor.cpp
@@ -44,27 +44,27 @@
 }
 
 auto crash_monitor::attribute(const interrupted_request& request,
-                              const chain& stages, result_handler done)
-    -> void {
-  struct progress {
-    std::size_t remaining;
-    bool crashed = false;
-  };
-  auto state = std::make_shared<progress>(progress{stages.size()});
+                              const chain& stages, task done) -> void {
+  const auto remaining = std::make_shared<std::size_t>(stages.size());
   for (const auto& stage : stages) {
     const auto endpoint = stage.endpoint;
     detect_crash(endpoint->address,
-                 [this, request, endpoint, state, done](bool crashed) {
-                   if (crashed && !state->crashed &&
-                       first_seen_crashed(*endpoint) >= request.exposed_since) {
-                     state->crashed = true;
-                     record_crash(request, *endpoint);
-                   }
-                   if (--state->remaining == 0) done(state->crashed);
+                 [this, request, endpoint, remaining, done](bool crashed) {
+                   if (crashed) charge(request, *endpoint);
+                   if (--*remaining == 0) done();
                  });
   }
 }
 
+/// Endpoints that crash together are lost by one cause.
+auto crash_monitor::charge(const interrupted_request& request,
+                           const endpoint_view& endpoint) -> void {
+  const auto& [since, charged] = request.on_endpoints;
+  if (*charged || first_seen_crashed(endpoint) < since) return;
+  *charged = true;
+  record_crash(request, endpoint);
+}
+
 auto crash_monitor::first_seen_crashed(const endpoint_view& endpoint)
     -> instant {
   const auto now = boottime_clock::now();
--- a/src/crash_monitor.hpp
+++ b/src/crash_monitor.hpp
@@ -15,15 +15,20 @@
 
 namespace pollenloft {
 
+/// The time that a request has been on the same endpoints. It is charged with
+/// one crash at most, and not with one that was known before.
+struct exposure {
+  instant since{};
+  std::shared_ptr<bool> charged = std::make_shared<bool>(false);
+};
+
 /// A request whose dispatch was interrupted.
 struct interrupted_request {
   std::string id;       ///< for the log
   std::string account;  ///< may be empty
   std::uint64_t fingerprint = 0;
   int points = 0;  ///< for a crash
-  /// Since when it has been on its endpoints; one that was known to have
-  /// crashed before is not its doing.
-  instant exposed_since{};
+  exposure on_endpoints{};
 };
 
 class crash_monitor {
@@ -45,10 +50,9 @@
   auto detect_crash(const socket_address& endpoint, result_handler done)
       -> void;
   /// Checks the endpoints of an interrupted dispatch, records a crash against
-  /// the request and calls `done` with whether it recorded one. Endpoints that
-  /// crashed together count once: they were lost by one cause.
+  /// the request and calls `done`.
   auto attribute(const interrupted_request& request, const chain& stages,
-                 result_handler done) -> void;
+                 task done) -> void;
   /// Records a crash that is known already.
   auto record_crash(const interrupted_request& request,
                     const endpoint_view& endpoint) -> void;
@@ -56,6 +60,8 @@
   auto record_survival(std::uint64_t fingerprint) -> void;
 
  private:
+  auto charge(const interrupted_request& request, const endpoint_view& endpoint)
+      -> void;
   /// Notes when the endpoint was first seen to have crashed, and returns that.
   auto first_seen_crashed(const endpoint_view& endpoint) -> instant;
 
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -154,8 +154,7 @@
   partial_event_.clear();
   attempt_first_event_ = events_forwarded_;
   dispatched_at_ = boottime_clock::now();
-  exposed_since_ = dispatched_at_;
-  crash_attributed_ = false;
+  exposure_ = {dispatched_at_};
   const auto attempt = lifecycle_.attempt();
   if (attempt == 1)
     host_.metrics_registry().observe("pollenloft_queue_seconds",
@@ -352,26 +351,25 @@
 }
 
 auto front_request::attribute_crash(const chain& stages, task next) -> void {
-  if (crash_attributed_) return next();
   const auto points = events_forwarded_ > attempt_first_event_
                           ? inferred_points_after_first_event
                           : inferred_points_before_first_event;
   const auto attempt = lifecycle_.attempt();
   const auto dispatch_active = dispatch_active_;
   host_.crashes().attribute({params_.headers.request_id, params_.account,
-                             params_.fingerprint, points, exposed_since_},
+                             params_.fingerprint, points, exposure_},
                             stages,
                             [self = weak_from_this(), attempt, dispatch_active,
-                             next = std::move(next)](bool crashed) {
+                             next = std::move(next)]() {
                               auto request = self.lock();
                               if (!request || request->ended() ||
                                   request->lifecycle_.attempt() != attempt ||
                                   request->dispatch_active_ != dispatch_active)
                                 return;
-                              if (crashed) {
-                                request->poison_suspect_ = true;
-                                request->crash_attributed_ = true;
-                              }
+                              // Slots are released as they were taken.
+                              if (!dispatch_active)
+                                request->poison_suspect_ |=
+                                    *request->exposure_.charged;
                               next();
                             });
 }
@@ -494,8 +492,7 @@
                                 dispatch_result::abandoned, "",
                                 boottime_clock::now());
   stages_ = std::move(*repaired);
-  exposed_since_ = boottime_clock::now();
-  crash_attributed_ = false;
+  exposure_ = {boottime_clock::now()};
   host_.routes().dispatch_started(stages_, poison_suspect_, tokens(),
                                   boottime_clock::now());
   log_event(log_level::info, "chain.mended",
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -146,8 +146,7 @@
   timer budget_timer_;
   std::set<std::string> avoided_endpoints_;  // by id; they failed this request
   instant dispatched_at_{};
-  instant exposed_since_{};        // on the present stages
-  bool crash_attributed_ = false;  // since then
+  exposure exposure_;  // to the present stages
   bool dispatch_active_ = false;
   bool poison_suspect_ = false;
   buffered_response response_;  // of the current attempt
--- a/test/front_request_test.cpp
+++ b/test/front_request_test.cpp
@@ -533,6 +533,7 @@
       held.push_back(call);
       abort_timer_ = loop_.after(milliseconds(10), [this] {
         host_->request->handle_endpoint_failure("e3");
+        host_->request->handle_endpoint_failure("e2");
       });
     };
     send_request();
--- a/test/poison_test.cpp
+++ b/test/poison_test.cpp
@@ -156,7 +156,7 @@
     for (int i = 0; i < 1000; ++i)
       ledger.apply(crash(killer, std::to_string(i)));
     CPPUNIT_ASSERT_EQUAL(1000 * points, ledger.points(killer));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{16},
+    CPPUNIT_ASSERT_EQUAL(std::size_t{8},
                          ledger.suspects().front().endpoints.size());
   }
 
