--- a/test/control_client_test.cpp
+++ b/test/control_client_test.cpp
@@ -34,12 +34,21 @@
   int ignored_parts = 0;  ///< requests for parts left without a reply
   int renewals = 0;
   int parts = 0;
+  std::vector<wire::blame_record> suspects;
+  std::int64_t suspects_digest = 0;
+  int suspect_lists = 0;  ///< sent
 
  private:
   auto route(const exchange_ptr& call) -> void {
     if (call->request().path == state_transfer_path) return send_part(call);
     ++renewals;
+    const auto request = decode_wire<wire::renew_request>(call->request().body);
     wire::renew_reply reply;
+    reply.suspects_digest = suspects_digest;
+    if (request->suspects_digest != suspects_digest) {
+      reply.blames = suspects;
+      ++suspect_lists;
+    }
     reply.granted = true;
     reply.leader = address_.text();
     reply.lease_ms = 1500;
@@ -87,6 +96,7 @@
   CPPUNIT_TEST(document_is_outdated_until_the_newer_one_arrives);
   CPPUNIT_TEST(unreadable_configuration_is_not_fetched_without_pause);
   CPPUNIT_TEST(document_stays_fresh_if_changes_outpace_transfers);
+  CPPUNIT_TEST(unchanged_suspects_are_sent_with_each_renewal);
   CPPUNIT_TEST_SUITE_END();
 
   event_loop loop_;
@@ -204,6 +214,28 @@
     run_for(milliseconds(1000));
     CPPUNIT_ASSERT_LESS(100, replicas_[0]->parts + replicas_[1]->parts);
   }
+
+  auto unchanged_suspects_are_sent_with_each_renewal() -> void {
+    auto& leader = *replicas_[0];
+    wire::blame_record record;
+    record.fingerprint = 7;
+    record.points = poison_threshold;
+    record.age_ms = 1000;
+    leader.suspects = {record};
+    leader.suspects_digest = 1;
+    control_->start();
+    run_for(milliseconds(200));
+    auto& guard = control_->crashes();
+    CPPUNIT_ASSERT_EQUAL(poison_threshold, guard.points(7));
+    CPPUNIT_ASSERT(guard.held_for(7, boottime_clock::now()) >
+                   std::chrono::seconds(10));
+    CPPUNIT_ASSERT_EQUAL(1, leader.suspect_lists);
+    CPPUNIT_ASSERT(leader.renewals > 3);
+    leader.suspects.clear();
+    leader.suspects_digest = 0;
+    run_for(milliseconds(200));
+    CPPUNIT_ASSERT_EQUAL(0, guard.points(7));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(control_client_test);
--- a/test/net_test.cpp
+++ b/test/net_test.cpp
@@ -22,6 +22,9 @@
   CPPUNIT_TEST(call_that_times_out_is_interrupted);
   CPPUNIT_TEST(last_segment_of_a_body_does_not_wait_for_acknowledgements);
   CPPUNIT_TEST(too_many_header_fields_are_rejected);
+  CPPUNIT_TEST(probe_sends_data_to_a_listener);
+  CPPUNIT_TEST(probe_takes_a_refusal_for_a_listener);
+  CPPUNIT_TEST(probes_of_one_peer_lose_answers);
   CPPUNIT_TEST(events_of_another_dispatch_are_dropped);
   CPPUNIT_TEST(invalid_announcements_are_rejected);
   CPPUNIT_TEST_SUITE_END();
@@ -199,6 +202,42 @@
     CPPUNIT_ASSERT_EQUAL(0, handled_requests_);
   }
 
+  auto probe(listener_prober& prober) -> listener_state {
+    auto result = listener_state::unknown;
+    prober.probe(server_address, milliseconds(200), [&](auto state) {
+      result = state;
+      loop_.stop();
+    });
+    loop_.run();
+    return result;
+  }
+
+  auto probe_sends_data_to_a_listener() -> void {
+    serve([](const auto& exchange) { exchange->reply(200, {}, ""); });
+    listener_prober prober(loop_);
+    CPPUNIT_ASSERT(probe(prober) == listener_state::listening);
+    CPPUNIT_ASSERT_EQUAL(0, handled_requests_);
+  }
+
+  auto probe_takes_a_refusal_for_a_listener() -> void {
+    listener_prober prober(loop_);
+    CPPUNIT_ASSERT(probe(prober) == listener_state::refused);
+    serve([](const auto& exchange) { exchange->reply(200, {}, ""); });
+    CPPUNIT_ASSERT(probe(prober) == listener_state::listening);
+  }
+
+  auto probes_of_one_peer_lose_answers() -> void {
+    serve([](const auto& exchange) { exchange->reply(200, {}, ""); });
+    listener_prober prober(loop_);
+    auto results = 0;
+    for (int i = 0; i < 50; ++i)
+      prober.probe(server_address, milliseconds(200), [&](auto state) {
+        CPPUNIT_ASSERT(state == listener_state::listening);
+        if (++results == 50) loop_.stop();
+      });
+    loop_.run();
+  }
+
   auto events_of_another_dispatch_are_dropped() -> void {
     event_reader reader(event_tag("r", 2));
     const auto events = reader.feed(
