Do not drop the record of crashes for an error response

Such a response cleared what was recorded against the request that crashed the others, so it could have gone on for many more crashes.

--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -601,7 +601,9 @@
 }
 
 auto caller_request::reply_completed() -> void {
-  host_.crashes().record_survival(params_.fingerprint);
+  constexpr int first_server_error = 500;
+  if (plain_status_ < first_server_error)
+    host_.crashes().record_survival(params_.fingerprint);
   if (std::holds_alternative<plain_service>(params_.target->kind)) {
     auto headers = reply_headers(outcome::completed);
     const auto type =
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -261,7 +261,6 @@
     return fail_attempt({"answer.head", stages_.front().endpoint->id,
                          "the answer is for another request"});
   if (response_head_.not_run) return handle_refusal();
-  host_.crashes().record_survival(params_.fingerprint);
   response_.body = body;
   const auto failed = response_.status >= 500;
   if (failed && params_.route->may_repeat() && !exchange_->started()) {
@@ -272,6 +271,8 @@
   if (is_stream() && response_.status == 200 && !partial_event_.empty())
     return fail_attempt({"answer.event", stages_.front().endpoint->id,
                          "the last event is not whole"});
+  // An endpoint that answers with an error may not have run the request.
+  if (!failed) host_.crashes().record_survival(params_.fingerprint);
   release_slots(dispatch_result::served, "");
   step(request_event::completed);
 }
--- a/test/front_request_test.cpp
+++ b/test/front_request_test.cpp
@@ -87,6 +87,7 @@
   CPPUNIT_TEST(endpoints_that_crash_together_count_each);
   CPPUNIT_TEST(endpoint_that_had_crashed_before_counts);
   CPPUNIT_TEST(retry_overtakes_the_record_of_a_crash);
+  CPPUNIT_TEST(error_response_drops_the_record_of_a_crash);
   CPPUNIT_TEST_SUITE_END();
 
   event_loop loop_;
@@ -566,6 +567,22 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, recorded[0]);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, recorded[1]);
   }
+
+  auto error_response_drops_the_record_of_a_crash() -> void {
+    auto& guard = host_->crashes().guard();
+    guard.record_crash(fingerprint_, "x", inferred_points_before_first_event,
+                       boottime_clock::now());
+    auto status = 500;
+    endpoint_handler_ = [&](const auto& call, auto) {
+      call->reply(status, http_headers().add("Request-Id", "r1"), "");
+    };
+    send_request();
+    CPPUNIT_ASSERT_EQUAL(inferred_points_before_first_event,
+                         guard.points(fingerprint_));
+    status = 200;
+    send_request();
+    CPPUNIT_ASSERT_EQUAL(0, guard.points(fingerprint_));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(front_request_test);
