--- a/src/crash_monitor.cpp
+++ b/src/crash_monitor.cpp
@@ -44,7 +44,7 @@
 }
 
 auto crash_monitor::attribute(const interrupted_request& request,
-                              const chain& stages, task done) -> void {
+                              const chain& stages, const task& done) -> void {
   const auto remaining = std::make_shared<std::size_t>(stages.size());
   for (const auto& stage : stages) {
     const auto endpoint = stage.endpoint;
--- a/src/crash_monitor.hpp
+++ b/src/crash_monitor.hpp
@@ -52,7 +52,7 @@
   /// Checks the endpoints of an interrupted dispatch, records a crash against
   /// the request and calls `done`.
   auto attribute(const interrupted_request& request, const chain& stages,
-                 task done) -> void;
+                 const task& done) -> void;
   /// Records a crash that is known already.
   auto record_crash(const interrupted_request& request,
                     const endpoint_view& endpoint) -> void;
