--- a/test/front_server_test.cpp
+++ b/test/front_server_test.cpp
@@ -157,6 +157,7 @@
   CPPUNIT_TEST(request_is_accepted_after_open_requests_were_ended);
   CPPUNIT_TEST(unreadable_document_does_not_confirm_the_one_before);
   CPPUNIT_TEST(request_that_crashed_three_endpoints_runs_again);
+  CPPUNIT_TEST(retry_runs_after_the_third_crash);
   CPPUNIT_TEST_SUITE_END();
 
   event_loop loop_;
@@ -204,20 +205,24 @@
     leader_.reset();
   }
 
-  /// Starts an endpoint that crashes when it gets the request `target`; returns
-  /// how often that request ran when it was sent once.
-  auto runs_until_crash(const std::string& target) -> int {
-    auto runs = 0;
+  /// Starts an endpoint that crashes when it gets the request `target`, and
+  /// counts how often that runs.
+  auto crash_on(const std::string& target, int& runs) -> void {
     endpoint_.reset();
     endpoint_ = std::make_unique<http_server>(
-        loop_, http_limits{}, [&, this](const exchange_ptr& call) {
-          if (call->request().target != target)
-            return call->reply(200, http_headers().add("Request-Id", "q"), "");
+        loop_, http_limits{}, [&runs, target, this](const exchange_ptr& call) {
+          if (call->request().target != target) return reply_done(call);
           ++runs;
           call->abort();
           loop_.post([this] { endpoint_->close_listener(); });
         });
     CPPUNIT_ASSERT(endpoint_->listen(endpoint_address));
+  }
+  /// How often the request `target` runs when it is sent once to such an
+  /// endpoint.
+  auto runs_until_crash(const std::string& target) -> int {
+    auto runs = 0;
+    crash_on(target, runs);
     send(target);
     restart_endpoint();
     return runs;
@@ -459,6 +464,26 @@
     CPPUNIT_ASSERT(result.elapsed < milliseconds(100));
   }
 
+  /// Two crashes on other VMs; the endpoint returns while the retry is queued.
+  auto retry_runs_after_the_third_crash() -> void {
+    receive_document();
+    auto& guard = control_->crashes();
+    const auto fingerprint = request_fingerprint("", "/x/1", "");
+    for (const auto* endpoint : {"a", "b"})
+      guard.record_crash(fingerprint, endpoint,
+                         inferred_points_before_first_event,
+                         boottime_clock::now());
+    auto runs = 0;
+    const auto restart = loop_.after(milliseconds(100), [&, this] {
+      crash_on("/x/1", runs);
+      leader_->restart_endpoint();
+    });
+    crash_on("/x/1", runs);
+    const auto status = send("/x/1").status;
+    CPPUNIT_ASSERT_EQUAL(1, runs);
+    CPPUNIT_ASSERT_EQUAL(502, status);
+  }
+
   /// The process stops a moment later, also during the drain notice.
   auto request_is_accepted_after_open_requests_were_ended() -> void {
     receive_document();
