--- a/include/pollenloft/net.hpp
+++ b/include/pollenloft/net.hpp
@@ -61,6 +61,9 @@
   std::unique_ptr<impl> impl_;
 };
 
+/// Runs `work` once after `delay`; it cannot be cancelled.
+auto run_later(event_loop& loop, duration delay, task work) -> void;
+
 /// Coalesces repeated scheduling: `work` runs once after the callbacks that are
 /// now running, however often they call `schedule`.
 class posted_task {
--- a/include/pollenloft/poison.hpp
+++ b/include/pollenloft/poison.hpp
@@ -63,6 +63,7 @@
   auto expire(milliseconds now) -> void;
   /// Points of all crashes recorded against a request.
   auto points(std::uint64_t fingerprint) const -> int;
+  auto size() const -> std::size_t { return records_.size(); }
   auto records() const -> std::vector<wire::blame_record>;
   auto load(std::vector<wire::blame_record> records) -> void;
   /// The records from `suspect_threshold` on, most points first. Requests that
--- a/src/control_client.cpp
+++ b/src/control_client.cpp
@@ -321,26 +321,22 @@
                  std::min<duration>(remaining, call_timeout),
                  true};
   client_.send(
-      call,
-      {{},
-       {},
-       [this, path = std::move(path), body = std::move(body), deadline,
-        redirect = std::move(redirect),
-        done = std::move(done)](const auto& result, auto response) {
-         const auto completed = std::holds_alternative<call_completed>(result);
-         const auto leader =
-             completed ? redirect(response) : std::optional<std::string>("");
-         if (!leader) return done(std::string(response));
-         select_leader(*leader);
-         auto retry = std::make_shared<timer>();
-         *retry = loop_.after(
-             retry_delay, [this, retry, path, body, deadline, redirect, done] {
-               // Breaks the cycle of the timer and its own callback, which must
-               // not be destroyed while it runs.
-               loop_.post([retry] { *retry = timer(); });
-               call_leader(path, body, deadline, redirect, done);
-             });
-       }});
+      call, {{},
+             {},
+             [this, path = std::move(path), body = std::move(body), deadline,
+              redirect = std::move(redirect),
+              done = std::move(done)](const auto& result, auto response) {
+               const auto completed =
+                   std::holds_alternative<call_completed>(result);
+               const auto leader = completed ? redirect(response)
+                                             : std::optional<std::string>("");
+               if (!leader) return done(std::string(response));
+               select_leader(*leader);
+               run_later(loop_, retry_delay,
+                         [this, path, body, deadline, redirect, done] {
+                           call_leader(path, body, deadline, redirect, done);
+                         });
+             }});
 }
 
 auto control_client::report(std::vector<wire::endpoint_record> endpoints)
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -919,11 +919,7 @@
     auto report = decode_body<wire::blame_command>(call);
     if (!report) return;
     report->at_ms = wall_clock().count();
-    if (!is_active_leader()) {
-      wire::settle_reply response;
-      response.leader = leader_address();
-      return wire_reply(call, response);
-    }
+    if (!is_active_leader()) return wire_reply(call, settlement(false));
     const auto due = crash_inbox_.add(*report, state_.crashes());
     log_event(
         log_level::info, "crash.received",
@@ -933,11 +929,7 @@
          {"points", report->points},
          {"survived", report->survived ? 1 : 0},
          {"committing", due.size()}});
-    if (due.empty()) {
-      wire::settle_reply response;
-      response.accepted = true;
-      return wire_reply(call, response);
-    }
+    if (due.empty()) return wire_reply(call, settlement(true));
     for (std::size_t i = 0; i < due.size(); ++i) {
       wire::command command;
       command.__isset.blame = true;
@@ -976,8 +968,7 @@
   /// Commits a command and replies whether it was committed.
   auto commit_and_acknowledge(const exchange_ptr& call,
                               const wire::command& command) -> void {
-    wire::settle_reply response;
-    response.leader = leader_address();
+    auto response = settlement(false);
     if (!is_active_leader()) return wire_reply(call, response);
     submit(command, [call, response](const auto& reply) mutable {
       response.accepted = reply.has_value();
@@ -985,6 +976,13 @@
     });
   }
 
+  auto settlement(bool accepted) const -> wire::settle_reply {
+    wire::settle_reply response;
+    response.accepted = accepted;
+    response.leader = leader_address();
+    return response;
+  }
+
   auto handle_patch(const exchange_ptr& call) -> void {
     const auto body = json::parse(call->request().body, nullptr, false);
     const auto valid = body.is_object() && body.contains("base") &&
@@ -1085,7 +1083,7 @@
     metrics_.set("pollenloft_claims",
                  static_cast<double>(state_.claim_count()));
     metrics_.set("pollenloft_crash_records",
-                 static_cast<double>(state_.crashes().records().size()));
+                 static_cast<double>(state_.crashes().size()));
     metrics_.set("pollenloft_renewals_total", static_cast<double>(renewals_));
     metrics_.set("pollenloft_document_number",
                  static_cast<double>(state_.document().number));
--- a/src/crash_monitor.cpp
+++ b/src/crash_monitor.cpp
@@ -29,14 +29,10 @@
 
 auto crash_monitor::detect_crash(const socket_address& endpoint,
                                  result_handler done) -> void {
-  auto delay = std::make_shared<timer>();
-  *delay = loop_.after(
-      probe_delay, [this, delay, endpoint, alive = std::weak_ptr(alive_),
-                    done = std::move(done)] {
+  run_later(
+      loop_, probe_delay,
+      [this, endpoint, alive = std::weak_ptr(alive_), done = std::move(done)] {
         if (alive.expired()) return;
-        // Breaks the cycle of the timer and its own callback, which must not be
-        // destroyed while it runs.
-        loop_.post([delay] { *delay = timer(); });
         prober_.probe(endpoint, probe_timeout, [done](listener_state state) {
           done(state == listener_state::refused);
         });
--- a/src/net.cpp
+++ b/src/net.cpp
@@ -141,6 +141,16 @@
   impl_->posted_tasks.push_back(std::move(work));
 }
 
+/// The timer keeps itself alive until it has fired, and is freed by a later
+/// callback, since its own must not be destroyed while it runs.
+auto run_later(event_loop& loop, duration delay, task work) -> void {
+  auto pending = std::make_shared<timer>();
+  *pending = loop.after(delay, [&loop, pending, work = std::move(work)] {
+    loop.post([pending] { *pending = timer(); });
+    work();
+  });
+}
+
 auto posted_task::schedule() -> void {
   if (posted_) return;
   posted_ = true;
--- a/src/standin_engine.cpp
+++ b/src/standin_engine.cpp
@@ -30,16 +30,6 @@
   return std::chrono::duration<double, std::micro>(d).count();
 }
 
-/// Runs `work` once after `delay`. The timer keeps itself alive and is freed
-/// after it has fired.
-auto run_later(event_loop& loop, duration delay, task work) -> void {
-  auto pending = std::make_shared<timer>();
-  *pending = loop.after(delay, [&loop, pending, work = std::move(work)] {
-    loop.post([pending] { *pending = timer(); });
-    work();
-  });
-}
-
 }  // namespace
 
 engine::engine(engine_context& context, runner_spec spec,
--- a/test/front_request_test.cpp
+++ b/test/front_request_test.cpp
@@ -443,14 +443,8 @@
   }
 
   auto crash_of_a_later_stage_is_not_recorded() -> void {
-    host_->routes().remove("e1");
-    host_->routes().upsert(
-        {"e1", "1", endpoint_address, "", "z", "app", 0, 1, 8});
-    host_->routes().upsert(
-        {"e2", "1", unreachable_address, "", "z", "app", 1, 2, 8});
-    make_stream(false);
-    engine_.layers = 2;
-    use_engine_ = true;
+    make_chain_with_crashed_stage();
+    route_.resumable = false;
     endpoint_handler_ = [](const auto& call, auto) { call->abort(); };
     CPPUNIT_ASSERT_EQUAL(502, send_request());
     wait_for_reports();
