Count responses that have not left the process

Servers now keep a record of each connection and of its response until the socket has accepted the last byte. No decision uses it yet.

--- a/include/pollenloft/net.hpp
+++ b/include/pollenloft/net.hpp
@@ -150,6 +150,20 @@
   std::chrono::seconds idle_timeout{60};
 };
 
+/// Responses of HTTP servers that have not left the process.
+struct unfinished_responses {
+  std::size_t open = 0;    ///< of requests that are not completely answered
+  std::size_t unsent = 0;  ///< complete, but not all written to the socket
+  std::size_t unsent_bytes = 0;  ///< of both kinds, in the buffers
+
+  auto operator+=(const unfinished_responses& other) -> unfinished_responses& {
+    open += other.open;
+    unsent += other.unsent;
+    unsent_bytes += other.unsent_bytes;
+    return *this;
+  }
+};
+
 /// An HTTP/1.1 server.
 class http_server {
  public:
@@ -167,7 +181,7 @@
   auto listen(const socket_address& address) -> std::optional<bool>;
   /// Stops accepting connections; open exchanges continue.
   auto close_listener() -> void;
-  auto connection_count() const -> std::size_t;
+  auto unfinished() const -> unfinished_responses;
 
  private:
   struct impl;
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -241,6 +241,11 @@
 auto entry_server::show_metrics(const exchange_ptr& call) -> void {
   metrics_.set("pollenloft_requests_open",
                static_cast<double>(requests_.size()));
+  const auto responses = unfinished();
+  metrics_.set("pollenloft_unsent_responses",
+               static_cast<double>(responses.unsent));
+  metrics_.set("pollenloft_unsent_response_bytes",
+               static_cast<double>(responses.unsent_bytes));
   metrics_.set("pollenloft_config_version",
                static_cast<double>(control_.config().version));
   metrics_.set("pollenloft_document_number",
@@ -508,29 +513,43 @@
   if (options_.disabled_mechanism == "drain") return loop_.stop();
   if (shutting_down_) return end_open_requests();
   shutting_down_ = true;
-  log_event(log_level::info, "drain.started",
-            {{"open_requests", requests_.size()}});
+  log_drain(log_level::info, "drain.started");
   phase_ = drain_phase::notice;
   drain_timer_ = loop_.after(options_.drain_notice, [this] {
     phase_ = drain_phase::refusing;
     server_.close_listener();
     drain_timer_ = loop_.every(tick_period, [this] {
-      const auto others = other_open_requests_ ? other_open_requests_() : 0;
-      if (!requests_.empty() || others > 0 ||
-          control_.pending_settlements() > 0)
-        return;
-      log_event(log_level::info, "drain.finished", {});
+      if (open_requests() > 0 || control_.pending_settlements() > 0) return;
+      log_drain(log_level::info, "drain.finished");
       loop_.stop();
     });
   });
   grace_timer_ = loop_.after(options_.grace, [this] { end_open_requests(); });
 }
 
+auto entry_server::open_requests() const -> std::size_t {
+  return requests_.size() + (other_open_requests_ ? other_open_requests_() : 0);
+}
+
+auto entry_server::unfinished() const -> unfinished_responses {
+  auto result = server_.unfinished();
+  if (other_responses_) result += other_responses_();
+  return result;
+}
+
+auto entry_server::log_drain(log_level level, const char* event) const -> void {
+  const auto responses = unfinished();
+  log_event(level, event,
+            {{"open_requests", open_requests()},
+             {"open_responses", responses.open},
+             {"unsent_responses", responses.unsent},
+             {"unsent_bytes", responses.unsent_bytes}});
+}
+
 auto entry_server::end_open_requests() -> void {
   phase_ = drain_phase::refusing;
   server_.close_listener();
-  log_event(log_level::warning, "drain.requests_ended",
-            {{"open_requests", requests_.size()}});
+  log_drain(log_level::warning, "drain.requests_ended");
   std::vector<caller_request_ptr> open;
   for (const auto& [id, request] : requests_)
     open.push_back(request);
--- a/src/entryd.cpp
+++ b/src/entryd.cpp
@@ -135,6 +135,7 @@
                   server.client(), server.control(), server.crashes(),
                   server.request_chart(), server.metrics_registry());
     server.set_other_open_requests([&front] { return front->open_requests(); });
+    server.set_other_responses([&front] { return front->unfinished(); });
     server.ending_open_requests.connect(
         [&front] { front->end_open_requests(); });
   }
--- a/src/front_server.hpp
+++ b/src/front_server.hpp
@@ -42,6 +42,9 @@
   /// has passed.
   auto drain() -> void;
   auto open_requests() const -> std::size_t { return requests_.size(); }
+  auto unfinished() const -> unfinished_responses {
+    return server_.unfinished();
+  }
   /// Ends all open and deferred requests with a final response and refuses new
   /// ones.
   auto end_open_requests() -> void;
--- a/src/net.cpp
+++ b/src/net.cpp
@@ -203,22 +203,45 @@
   return std::nullopt;
 }
 
+namespace {
+
+/// A caller's connection that has sent at least one request.
+struct caller_connection {
+  evhttp_connection* handle = nullptr;
+  exchange::impl* current = nullptr;  // null once its response is complete
+  bool sending = false;  // a complete response is not yet written to the socket
+
+  auto stream() const -> bufferevent* {
+    return evhttp_connection_get_bufferevent(handle);
+  }
+  auto unsent_bytes() const -> std::size_t {
+    return evbuffer_get_length(bufferevent_get_output(stream()));
+  }
+  /// Watches a complete response until the socket has accepted its last byte.
+  auto watch_response(evhttp_request* request) -> void {
+    sending = true;
+    evhttp_request_set_on_complete_cb(request, &on_sent, this);
+  }
+  static auto on_sent(evhttp_request* /*request*/, void* arg) -> void {
+    static_cast<caller_connection*>(arg)->sending = false;
+  }
+};
+
+}  // namespace
+
 struct exchange::impl {
   evhttp_request* handle = nullptr;  // null after the response or a close
+  caller_connection* connection = nullptr;
   http_request request;
   sigc::signal<void()> closed;
   bool started = false;
   duration idle_timeout{};  // of the connection after the response
 
-  auto connection() const -> evhttp_connection* {
-    return evhttp_request_get_connection(handle);
-  }
-
   /// Detects that the caller disconnects before the response has ended. evhttp
   /// stops reading after a request, so it would not notice the close. Bytes
   /// that the caller sends meanwhile stay in the input buffer.
   auto watch_for_close() -> void {
-    auto* stream = evhttp_connection_get_bufferevent(connection());
+    auto* stream = connection->stream();
     bufferevent_data_cb on_read = nullptr;
     bufferevent_data_cb on_write = nullptr;
     bufferevent_event_cb on_event = nullptr;
@@ -227,25 +250,23 @@
     bufferevent_setcb(stream, nullptr, on_write, on_event, arg);
     bufferevent_set_timeouts(stream, nullptr, nullptr);
     bufferevent_enable(stream, EV_READ);
-    evhttp_connection_set_closecb(connection(), &on_close, this);
+    connection->current = this;
   }
 
-  static auto on_close(evhttp_connection* /*connection*/, void* arg) -> void {
-    auto* self = static_cast<impl*>(arg);
-    auto* closed_handle = std::exchange(self->handle, nullptr);
-    if (closed_handle == nullptr) return;
+  auto handle_close() -> void {
+    auto* closed_handle = std::exchange(handle, nullptr);
     // evhttp does not free a request that has lost its connection.
     if (evhttp_request_get_connection(closed_handle) == nullptr)
       evhttp_request_free(closed_handle);
-    self->closed.emit();
+    closed.emit();
   }
 
   /// Stops watching the connection and restores its idle timeout.
   auto release() -> void {
-    evhttp_connection_set_closecb(connection(), nullptr, nullptr);
+    connection->current = nullptr;
+    connection->watch_response(handle);
     const auto timeout = to_timeval(idle_timeout);
-    bufferevent_set_timeouts(evhttp_connection_get_bufferevent(connection()),
-                             &timeout, &timeout);
+    bufferevent_set_timeouts(connection->stream(), &timeout, &timeout);
     handle = nullptr;
   }
 };
@@ -300,8 +321,7 @@
   evhttp_send_reply_chunk(impl_->handle, buffer);
   evbuffer_free(buffer);
   if (impl_->handle == nullptr) return 0;
-  auto* stream = evhttp_connection_get_bufferevent(impl_->connection());
-  return evbuffer_get_length(bufferevent_get_output(stream));
+  return impl_->connection->unsent_bytes();
 }
 
 auto exchange::end() -> void {
@@ -313,7 +333,7 @@
 
 auto exchange::abort() -> void {
   if (impl_->handle == nullptr) return;
-  auto* connection = impl_->connection();
+  auto* connection = impl_->connection->handle;
   impl_->release();
   // Flushes the buffered chunks as far as the socket accepts them.
   auto* stream = evhttp_connection_get_bufferevent(connection);
@@ -329,13 +349,29 @@
   handler on_request;
   evhttp* http = nullptr;
   evhttp_bound_socket* socket = nullptr;
-  std::shared_ptr<std::size_t> open = std::make_shared<std::size_t>(0);
+  std::map<evhttp_connection*, caller_connection> connections;
 
   impl(event_loop& loop, http_limits limits, handler on_request)
       : loop(loop), limits(limits), on_request(std::move(on_request)) {}
 
-  static auto reply_error(evhttp_request* handle, int status,
-                          const char* message) -> void {
+  /// The record of the connection on which `handle` arrived.
+  auto connection_of(evhttp_request* handle) -> caller_connection& {
+    auto* connection = evhttp_request_get_connection(handle);
+    auto& record = connections[connection];
+    record = {connection};
+    evhttp_connection_set_closecb(connection, &on_close, this);
+    return record;
+  }
+
+  static auto on_close(evhttp_connection* connection, void* arg) -> void {
+    auto closed = static_cast<impl*>(arg)->connections.extract(connection);
+    if (!closed.empty() && closed.mapped().current != nullptr)
+      closed.mapped().current->handle_close();
+  }
+
+  auto reply_error(evhttp_request* handle, int status, const char* message)
+      -> void {
+    connection_of(handle).watch_response(handle);
     auto* buffer = evbuffer_new();
     evbuffer_add_printf(buffer, "%s\n", message);
     evhttp_add_header(evhttp_request_get_output_headers(handle),
@@ -360,13 +396,14 @@
         evhttp_uri_get_path(evhttp_request_get_evhttp_uri(handle));
     request.path = path != nullptr && *path != '\0' ? path : "/";
     request.body = buffer_text(evhttp_request_get_input_buffer(handle));
-    auto* connection = evhttp_request_get_connection(handle);
+    auto& connection = connection_of(handle);
     char* host = nullptr;
     ev_uint16_t port = 0;
-    evhttp_connection_get_peer(connection, &host, &port);
+    evhttp_connection_get_peer(connection.handle, &host, &port);
     request.peer =
         std::string(host != nullptr ? host : "") + ":" + std::to_string(port);
     state->handle = handle;
+    state->connection = &connection;
     state->idle_timeout = limits.idle_timeout;
     state->watch_for_close();
     on_request(std::make_shared<exchange>(std::move(state)));
@@ -407,6 +444,16 @@
   impl_->socket = nullptr;
 }
 
+auto http_server::unfinished() const -> unfinished_responses {
+  unfinished_responses result;
+  for (const auto& [handle, connection] : impl_->connections) {
+    if (connection.current == nullptr && !connection.sending) continue;
+    ++(connection.sending ? result.unsent : result.open);
+    result.unsent_bytes += connection.unsent_bytes();
+  }
+  return result;
+}
+
 struct pending_call::impl {
   event_loop& loop;
   evhttp_connection* connection = nullptr;
--- a/test/net_test.cpp
+++ b/test/net_test.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(stale_connection_does_not_repeat_a_call);
   CPPUNIT_TEST(chunks_reach_the_data_callback);
   CPPUNIT_TEST(error_body_of_a_stream_reaches_the_done_callback);
+  CPPUNIT_TEST(unfinished_responses_are_not_counted);
   CPPUNIT_TEST(exchange_reports_that_the_caller_disconnected);
   CPPUNIT_TEST(call_that_times_out_is_interrupted);
   CPPUNIT_TEST(last_segment_of_a_body_does_not_wait_for_acknowledgements);
@@ -142,6 +143,34 @@
     CPPUNIT_ASSERT_EQUAL(std::string("full"), body_);
   }
 
+  auto unfinished_responses_are_not_counted() -> void {
+    std::vector<unfinished_responses> counts;
+    const auto count = [&] { counts.push_back(server_->unfinished()); };
+    serve([&](const exchange_ptr& exchange) {
+      count();
+      exchange->start(200, {});
+      exchange->chunk("part");
+      count();
+      exchange->end();
+      count();
+    });
+    http_client client(loop_);
+    call(client, true);
+    run();
+    count();
+    const auto check = [&](std::size_t i, std::size_t open,
+                           std::size_t unsent) {
+      CPPUNIT_ASSERT_EQUAL(open, counts.at(i).open);
+      CPPUNIT_ASSERT_EQUAL(unsent, counts.at(i).unsent);
+    };
+    check(0, 1, 0);
+    check(1, 1, 0);
+    CPPUNIT_ASSERT(counts.at(1).unsent_bytes > 0);
+    check(2, 0, 1);
+    check(3, 0, 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, counts.at(3).unsent_bytes);
+  }
+
   auto exchange_reports_that_the_caller_disconnected() -> void {
     auto closed = false;
     http_client client(loop_);
