Exit only after the last answers have been written

Cause: a request left the count of open requests when its last byte was handed to the HTTP library, which writes it at the next turn of the loop or later, as fast as the caller reads. The drain looked at that count only and stopped the loop, so what was still buffered died with the process. Class: work that counts as done before it has left the process.

Ruled out: that the drain ended the request itself (drain.finished, not drain.requests_ended, and 1.8 s before the grace time was over).

No server of a process can be left out. A VM also waits for deferred requests. At the end of the grace time answers have 0.4 s to leave instead of 0.2 s.

net_test cases before: response_is_lost_when_the_loop_finishes_in_the_same_turn and the others test the new function; not run against the old code, which lacks it.

--- a/include/pollenloft/net.hpp
+++ b/include/pollenloft/net.hpp
@@ -35,6 +35,20 @@
   std::unique_ptr<impl> impl_;
 };
 
+/// Responses of HTTP servers that have not left the process.
+struct unfinished_responses {
+  std::size_t open = 0;    ///< of requests that are not completely answered
+  std::size_t unsent = 0;  ///< complete, but not all written to the socket
+  std::size_t unsent_bytes = 0;  ///< of both kinds, in the buffers
+
+  auto operator+=(const unfinished_responses& other) -> unfinished_responses& {
+    open += other.open;
+    unsent += other.unsent;
+    unsent_bytes += other.unsent_bytes;
+    return *this;
+  }
+};
+
 /// The event loop of a process.
 class event_loop {
  public:
@@ -44,9 +58,16 @@
   auto operator=(const event_loop&) -> event_loop& = delete;
 
   auto base() -> event_base*;
-  /// Runs until `stop`.
+  /// Runs until `stop` or `finish` ends it.
   auto run() -> void;
+  /// Ends `run` at once. Responses that are still buffered are lost.
   auto stop() -> void;
+  /// Ends `run` once `busy` returns false, the responses of all servers of this
+  /// loop have been written and their callers have closed the connections. This
+  /// takes `limit` at most; a later call replaces both parameters.
+  auto finish(duration limit, sigc::slot<bool()> busy = {}) -> void;
+  /// Responses of all servers of this loop that have not left the process.
+  auto unfinished() const -> unfinished_responses;
   /// Runs `work` once, after the callbacks that are now running.
   auto post(task work) -> void;
   /// Runs `work` once after `delay`; a negative delay counts as zero.
@@ -57,6 +78,7 @@
   [[nodiscard]] auto on_signal(int number, task work) -> timer;
 
  private:
+  friend class http_server;
   struct impl;
   std::unique_ptr<impl> impl_;
 };
@@ -150,23 +172,10 @@
   std::chrono::seconds idle_timeout{60};
 };
 
-/// Responses of HTTP servers that have not left the process.
-struct unfinished_responses {
-  std::size_t open = 0;    ///< of requests that are not completely answered
-  std::size_t unsent = 0;  ///< complete, but not all written to the socket
-  std::size_t unsent_bytes = 0;  ///< of both kinds, in the buffers
-
-  auto operator+=(const unfinished_responses& other) -> unfinished_responses& {
-    open += other.open;
-    unsent += other.unsent;
-    unsent_bytes += other.unsent_bytes;
-    return *this;
-  }
-};
-
 /// An HTTP/1.1 server.
 class http_server {
  public:
+  struct impl;
   using handler = sigc::slot<void(exchange_ptr)>;
 
   /// A request with more than `header_count` fields gets status 431 and does
@@ -184,7 +193,6 @@
   auto unfinished() const -> unfinished_responses;
 
  private:
-  struct impl;
   std::unique_ptr<impl> impl_;
 };
 
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -13,8 +13,8 @@
 constexpr auto tick_period = milliseconds(20);
 // How long endpoints stay in use that the directory of a new leader lacks.
 constexpr auto unconfirmed_grace = std::chrono::seconds(3);
-// Time for the last responses to be sent before the process exits.
-constexpr auto flush_delay = milliseconds(200);
+// Time for the last responses to be sent after open requests were ended.
+constexpr auto flush_timeout = milliseconds(400);
 constexpr std::size_t max_open_requests = 8000;
 constexpr std::size_t max_idempotency_key_bytes = 200;
 constexpr std::size_t max_prompt_bytes = 256 * 1024;
@@ -241,7 +241,7 @@
 auto entry_server::show_metrics(const exchange_ptr& call) -> void {
   metrics_.set("pollenloft_requests_open",
                static_cast<double>(requests_.size()));
-  const auto responses = unfinished();
+  const auto responses = loop_.unfinished();
   metrics_.set("pollenloft_unsent_responses",
                static_cast<double>(responses.unsent));
   metrics_.set("pollenloft_unsent_response_bytes",
@@ -518,27 +518,25 @@
   drain_timer_ = loop_.after(options_.drain_notice, [this] {
     phase_ = drain_phase::refusing;
     server_.close_listener();
-    drain_timer_ = loop_.every(tick_period, [this] {
-      if (open_requests() > 0 || control_.pending_settlements() > 0) return;
-      log_drain(log_level::info, "drain.finished");
-      loop_.stop();
-    });
+    drain_timer_ = loop_.every(tick_period, [this] { finish_drain(); });
   });
+  grace_end_ = boottime_clock::now() + options_.grace;
   grace_timer_ = loop_.after(options_.grace, [this] { end_open_requests(); });
 }
 
-auto entry_server::open_requests() const -> std::size_t {
-  return requests_.size() + (other_open_requests_ ? other_open_requests_() : 0);
+auto entry_server::finish_drain() -> void {
+  if (open_requests() > 0 || control_.pending_settlements() > 0) return;
+  log_drain(log_level::info, "drain.finished");
+  drain_timer_ = timer();
+  loop_.finish(grace_end_ - boottime_clock::now());
 }
 
-auto entry_server::unfinished() const -> unfinished_responses {
-  auto result = server_.unfinished();
-  if (other_responses_) result += other_responses_();
-  return result;
+auto entry_server::open_requests() const -> std::size_t {
+  return requests_.size() + (other_open_requests_ ? other_open_requests_() : 0);
 }
 
 auto entry_server::log_drain(log_level level, const char* event) const -> void {
-  const auto responses = unfinished();
+  const auto responses = loop_.unfinished();
   log_event(level, event,
             {{"open_requests", open_requests()},
              {"open_responses", responses.open},
@@ -556,7 +554,10 @@
   for (const auto& request : open)
     request->step(request_event::deadline);
   ending_open_requests.emit();
-  drain_timer_ = loop_.after(flush_delay, [this] { loop_.stop(); });
+  drain_timer_ = timer();
+  grace_timer_ = timer();
+  loop_.finish(flush_timeout,
+               [this] { return control_.pending_settlements() > 0; });
 }
 
 }  // namespace pollenloft
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -47,14 +47,11 @@
   /// Replies with all metrics of this VM in the Prometheus text format.
   auto show_metrics(const exchange_ptr& call) -> void;
   /// Sets the count of open requests on another server of this VM; shutdown
-  /// waits until it is 0.
+  /// waits until it is 0. It waits for the responses of all servers of the loop
+  /// in any case.
   auto set_other_open_requests(sigc::slot<std::size_t()> count) -> void {
     other_open_requests_ = std::move(count);
   }
-  /// Sets the source of the unfinished responses of other servers.
-  auto set_other_responses(sigc::slot<unfinished_responses()> source) -> void {
-    other_responses_ = std::move(source);
-  }
   /// Emitted when shutdown ends the requests that are still open.
   sigc::signal<void()> ending_open_requests;
 
@@ -116,10 +113,9 @@
   auto limit_heavy_accounts(instant now) -> void;
   auto recent_usage() -> std::vector<wire::account_usage>;
   auto end_open_requests() -> void;
+  auto finish_drain() -> void;
   /// Requests in progress, of all interfaces of this VM.
   auto open_requests() const -> std::size_t;
-  /// Responses that have not left the process, of all its servers.
-  auto unfinished() const -> unfinished_responses;
   auto log_drain(log_level level, const char* event) const -> void;
 
   event_loop& loop_;
@@ -137,6 +133,7 @@
   timer tick_timer_;
   timer drain_timer_;
   timer grace_timer_;
+  instant grace_end_{};
   drain_phase phase_ = drain_phase::serving;
   bool shutting_down_ = false;
   bool had_lease_ = false;
@@ -152,7 +149,6 @@
   instant rate_limits_updated_{};
   std::set<std::string> accounts_above_share_;
   sigc::slot<std::size_t()> other_open_requests_;
-  sigc::slot<unfinished_responses()> other_responses_;
 };
 
 }  // namespace pollenloft
--- a/src/entryd.cpp
+++ b/src/entryd.cpp
@@ -135,7 +135,6 @@
                   server.client(), server.control(), server.crashes(),
                   server.request_chart(), server.metrics_registry());
     server.set_other_open_requests([&front] { return front->open_requests(); });
-    server.set_other_responses([&front] { return front->unfinished(); });
     server.ending_open_requests.connect(
         [&front] { front->end_open_requests(); });
   }
@@ -166,6 +165,11 @@
   const auto hangup = loop.on_signal(SIGHUP, reload);
   const auto watch = loop.every(settings_poll_interval, reload);
   loop.run();
+  const auto responses = loop.unfinished();
+  log_event(log_level::info, "stopped",
+            {{"open_responses", responses.open},
+             {"unsent_responses", responses.unsent},
+             {"unsent_bytes", responses.unsent_bytes}});
   return 0;
 }
 
--- a/src/front_server.hpp
+++ b/src/front_server.hpp
@@ -41,9 +41,8 @@
   /// Reports not ready. New requests are still served until the drain notice
   /// has passed.
   auto drain() -> void;
-  auto open_requests() const -> std::size_t { return requests_.size(); }
-  auto unfinished() const -> unfinished_responses {
-    return server_.unfinished();
+  auto open_requests() const -> std::size_t {
+    return requests_.size() + deferred_.size();
   }
   /// Ends all open and deferred requests with a final response and refuses new
   /// ones.
--- a/src/net.cpp
+++ b/src/net.cpp
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <cstring>
 #include <deque>
+#include <set>
 #include <utility>
 
 namespace pollenloft {
@@ -92,10 +93,29 @@
 timer::timer(timer&&) noexcept = default;
 auto timer::operator=(timer&&) noexcept -> timer& = default;
 
+namespace {
+
+constexpr auto finish_poll_interval = milliseconds(5);
+/// Time for callers to close their connections once they have been told to.
+/// Closing first would reset connections with unread input, and a reset
+/// discards what the caller has not received yet.
+constexpr auto linger_time = milliseconds(250);
+
+}  // namespace
+
 struct event_loop::impl {
   event_base* base = nullptr;
   event* posted_event = nullptr;
   std::deque<task> posted_tasks;
+  std::set<http_server::impl*> servers;
+  timer finish_timer;
+  sigc::slot<bool()> busy;
+  instant finish_by{};
+  instant linger_until{};  // unset until all responses have been written
+
+  auto unfinished() const -> unfinished_responses;
+  /// Whether all responses have left the process, or the limit has passed.
+  auto may_stop(instant now) -> bool;
 
   static auto run_posted(int /*fd*/, short /*what*/, void* arg) -> void {
     auto* self = static_cast<impl*>(arg);
@@ -118,6 +138,7 @@
 }
 
 event_loop::~event_loop() {
+  impl_->finish_timer = timer();
   impl_->posted_tasks.clear();
   event_free(impl_->posted_event);
   event_base_free(impl_->base);
@@ -135,6 +156,18 @@
   event_base_loopbreak(impl_->base);
 }
 
+auto event_loop::finish(duration limit, sigc::slot<bool()> busy) -> void {
+  auto& state = *impl_;
+  state.busy = std::move(busy);
+  state.finish_by = boottime_clock::now() + limit;
+  state.finish_timer = every(finish_poll_interval, [this] {
+    if (!impl_->may_stop(boottime_clock::now())) return;
+    impl_->finish_timer = timer();
+    impl_->linger_until = {};
+    stop();
+  });
+}
+
 auto event_loop::post(task work) -> void {
   if (impl_->posted_tasks.empty())
     event_active(impl_->posted_event, EV_TIMEOUT, 0);
@@ -363,6 +396,28 @@
     return record;
   }
 
+  auto unfinished() const -> unfinished_responses {
+    unfinished_responses result;
+    for (const auto& [handle, connection] : connections) {
+      if (connection.current == nullptr && !connection.sending) continue;
+      ++(connection.sending ? result.unsent : result.open);
+      result.unsent_bytes += connection.unsent_bytes();
+    }
+    return result;
+  }
+
+  auto close_listener() -> void {
+    if (socket == nullptr) return;
+    evhttp_del_accept_socket(http, socket);
+    socket = nullptr;
+  }
+
+  /// Tells callers that no further response follows.
+  auto shut_down_connections() const -> void {
+    for (const auto& [handle, connection] : connections)
+      shutdown(bufferevent_getfd(connection.stream()), SHUT_WR);
+  }
+
   static auto on_close(evhttp_connection* connection, void* arg) -> void {
     auto closed = static_cast<impl*>(arg)->connections.extract(connection);
     if (!closed.empty() && closed.mapped().current != nullptr)
@@ -414,6 +469,7 @@
                          handler on_request)
     : impl_(std::make_unique<impl>(loop, limits, std::move(on_request))) {
   impl_->http = evhttp_new(loop.base());
+  loop.impl_->servers.insert(impl_.get());
   evhttp_set_gencb(impl_->http, &impl::on_evhttp_request, impl_.get());
   evhttp_set_max_headers_size(impl_->http,
                               static_cast<ev_ssize_t>(limits.header_bytes));
@@ -427,6 +483,7 @@
 }
 
 http_server::~http_server() {
+  impl_->loop.impl_->servers.erase(impl_.get());
   evhttp_free(impl_->http);
 }
 
@@ -439,21 +496,41 @@
 }
 
 auto http_server::close_listener() -> void {
-  if (impl_->socket == nullptr) return;
-  evhttp_del_accept_socket(impl_->http, impl_->socket);
-  impl_->socket = nullptr;
+  impl_->close_listener();
 }
 
 auto http_server::unfinished() const -> unfinished_responses {
+  return impl_->unfinished();
+}
+
+auto event_loop::impl::unfinished() const -> unfinished_responses {
   unfinished_responses result;
-  for (const auto& [handle, connection] : impl_->connections) {
-    if (connection.current == nullptr && !connection.sending) continue;
-    ++(connection.sending ? result.unsent : result.open);
-    result.unsent_bytes += connection.unsent_bytes();
-  }
+  for (const auto* server : servers)
+    result += server->unfinished();
   return result;
 }
 
+auto event_loop::unfinished() const -> unfinished_responses {
+  return impl_->unfinished();
+}
+
+auto event_loop::impl::may_stop(instant now) -> bool {
+  if (now >= finish_by) return true;
+  if (linger_until == instant{}) {
+    const auto responses = unfinished();
+    if ((busy && busy()) || responses.open + responses.unsent > 0) return false;
+    linger_until = now + linger_time;
+    for (auto* server : servers) {
+      server->close_listener();
+      server->shut_down_connections();
+    }
+  }
+  return now >= linger_until ||
+         std::all_of(servers.begin(), servers.end(), [](const auto* server) {
+           return server->connections.empty();
+         });
+}
+
 struct pending_call::impl {
   event_loop& loop;
   evhttp_connection* connection = nullptr;
--- a/test/drain_test.cpp
+++ b/test/drain_test.cpp
@@ -202,7 +202,6 @@
         *loop_, front, entry_->client(), entry_->control(), entry_->crashes(),
         entry_->request_chart(), entry_->metrics_registry());
     entry_->set_other_open_requests([this] { return front_->open_requests(); });
-    entry_->set_other_responses([this] { return front_->unfinished(); });
     CPPUNIT_ASSERT(front_->start());
     CPPUNIT_ASSERT(entry_->start());
   }
--- a/test/net_test.cpp
+++ b/test/net_test.cpp
@@ -19,6 +19,10 @@
   CPPUNIT_TEST(chunks_reach_the_data_callback);
   CPPUNIT_TEST(error_body_of_a_stream_reaches_the_done_callback);
   CPPUNIT_TEST(unfinished_responses_are_not_counted);
+  CPPUNIT_TEST(response_is_lost_when_the_loop_finishes_in_the_same_turn);
+  CPPUNIT_TEST(loop_finishes_before_an_open_exchange_is_answered);
+  CPPUNIT_TEST(loop_finishes_while_other_work_is_busy);
+  CPPUNIT_TEST(open_exchange_keeps_the_loop_running_beyond_the_limit);
   CPPUNIT_TEST(exchange_reports_that_the_caller_disconnected);
   CPPUNIT_TEST(call_that_times_out_is_interrupted);
   CPPUNIT_TEST(last_segment_of_a_body_does_not_wait_for_acknowledgements);
@@ -171,6 +175,61 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, counts.at(3).unsent_bytes);
   }
 
+  /// Sends a call and runs until `finish` ends the loop.
+  auto run_until_finished(http_client& client) -> duration {
+    http_call request{server_address, "POST", "/x"};
+    request.timeout = std::chrono::seconds(5);
+    client.send(request, {{}, {}, [this](const auto& result, auto body) {
+                            result_ = result;
+                            body_ = body;
+                          }});
+    const auto start = boottime_clock::now();
+    run();
+    return boottime_clock::now() - start;
+  }
+
+  auto response_is_lost_when_the_loop_finishes_in_the_same_turn() -> void {
+    const std::string large(1 << 20, 'x');
+    serve([&](const exchange_ptr& exchange) {
+      exchange->reply(200, {}, large);
+      loop_.finish(std::chrono::seconds(3));
+    });
+    http_client client(loop_);
+    CPPUNIT_ASSERT(run_until_finished(client) < std::chrono::seconds(3));
+    CPPUNIT_ASSERT(result_.has_value());
+    CPPUNIT_ASSERT_EQUAL(large.size(), body_.size());
+  }
+
+  auto loop_finishes_before_an_open_exchange_is_answered() -> void {
+    timer reply_timer;
+    serve([&](const exchange_ptr& exchange) {
+      loop_.finish(std::chrono::seconds(3));
+      reply_timer = loop_.after(
+          milliseconds(100), [exchange] { exchange->reply(200, {}, "late"); });
+    });
+    http_client client(loop_);
+    CPPUNIT_ASSERT(run_until_finished(client) < std::chrono::seconds(3));
+    CPPUNIT_ASSERT_EQUAL(std::string("late"), body_);
+  }
+
+  auto loop_finishes_while_other_work_is_busy() -> void {
+    auto busy = true;
+    loop_.finish(std::chrono::seconds(3), [&] { return busy; });
+    const auto done = loop_.after(milliseconds(100), [&] { busy = false; });
+    run();
+    CPPUNIT_ASSERT(!busy);
+  }
+
+  auto open_exchange_keeps_the_loop_running_beyond_the_limit() -> void {
+    serve([this](const exchange_ptr& exchange) {
+      open_exchange_ = exchange;
+      loop_.finish(milliseconds(100));
+    });
+    http_client client(loop_);
+    CPPUNIT_ASSERT(run_until_finished(client) < std::chrono::seconds(3));
+    CPPUNIT_ASSERT(!result_.has_value());
+  }
+
   auto exchange_reports_that_the_caller_disconnected() -> void {
     auto closed = false;
     http_client client(loop_);
