Answer what waits at a control VM before it stops

A control VM that got SIGTERM handed over the leadership and stopped its loop 200 ms later, whatever was waiting there: operators with a configuration that was being committed, readers of a document, VMs with a renewal. Their connections were closed without an answer or in the middle of one. A failed disk stopped the loop at once, with replies to what was durable still in the buffers.

The same class as the cut answers of a drain: the end of the process did not know what had not left it. The replica now answers everything that waits (as not committed, with the place of the leader), keeps voting, and ends through event_loop::finish, 4 s later at most. After a failed disk it applies and sends nothing more, as before.

'stopping' and 'stopped' are new log lines.

--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -27,6 +27,9 @@
 
 constexpr auto tick_interval = milliseconds(20);
 constexpr auto peer_timeout = milliseconds(400);
+constexpr auto hand_over_time = peer_timeout / 2;
+/// Time for the last replies to leave at a stop.
+constexpr auto stop_timeout = std::chrono::seconds(4);
 constexpr auto orphan_grace_period = std::chrono::seconds(3);
 /// Three heartbeats of the leader at the default interval.
 constexpr auto leader_contact_timeout = milliseconds(300);
@@ -145,10 +148,20 @@
     return true;
   }
 
+  /// Hands over the leadership, answers what waits here, then ends the loop.
   auto shut_down() -> void {
+    if (stopping_) return;
+    stopping_ = true;
+    log_event(log_level::info, "stopping",
+              {{"role", role_name()},
+               {"open_responses", loop_.unfinished().open},
+               {"queued_replies", pacer_.queued()}});
     replica_.transfer_leadership(boottime_clock::now());
     flush();
-    stop_timer_ = loop_.after(peer_timeout / 2, [this] { loop_.stop(); });
+    stop_timer_ = loop_.after(hand_over_time, [this] {
+      answer_pending();
+      loop_.finish(stop_timeout);
+    });
   }
 
   auto failed() const -> bool { return failed_; }
@@ -159,7 +172,7 @@
 
   // control_host
   auto is_active_leader() const -> bool override {
-    return replica_.has_committed_in_term() &&
+    return !serving_ended_ && replica_.has_committed_in_term() &&
            boottime_clock::now() < replica_.leader_lease_until();
   }
   auto leader_reachable() const -> bool override {
@@ -329,6 +342,7 @@
   // --- replication -------------------------------------------------------
 
   auto tick() -> void {
+    if (failed_) return;
     const auto now = boottime_clock::now();
     observe_tick_delay(now);
     replica_.tick(now);
@@ -422,11 +436,13 @@
   }
 
   auto submit(const wire::command& command, reply_handler done) -> void {
+    if (serving_ended_) return done(std::nullopt);
     queued_commands_.push_back({encode_wire(command), std::move(done)});
     flush_task_.schedule();
   }
 
   auto flush() -> void {
+    if (failed_) return;
     propose_commands();
     while (!failed_) {
       auto effects = replica_.take_effects();
@@ -439,16 +455,18 @@
       for (const auto& entry : effects.committed)
         apply(entry);
     }
+    if (failed_) return;
     handle_role_change(boottime_clock::now());
     compact();
   }
 
   /// Stops the process, since after a failed write the disk may lack data that
-  /// was acknowledged.
+  /// was acknowledged. Replies that were given before still leave.
   auto stop_on_disk_failure() -> void {
     log_failure("disk.failed", last_error());
     failed_ = true;
-    loop_.stop();
+    answer_pending();
+    loop_.finish(stop_timeout);
   }
 
   auto propose_commands() -> void {
@@ -492,6 +510,19 @@
       reply_not_leader(pending.call);
   }
 
+  /// Replies to all that waits for a commit or a change. From here on this
+  /// replica answers as one that does not lead.
+  auto answer_pending() -> void {
+    serving_ended_ = true;
+    for (auto& command : std::exchange(queued_commands_, {}))
+      command.done(std::nullopt);
+    reject_pending();
+    for (auto& pending : std::exchange(pending_renewals_, {}))
+      reply_to_renewal(pending.call, pending.request);
+    for (auto& pending : std::exchange(pending_state_requests_, {}))
+      wire_reply(pending.call, wire::state_part{});
+  }
+
   auto compact() -> void {
     if (disk_.log_bytes() < std::max(min_compaction_bytes, 2 * snapshot_bytes_))
       return;
@@ -1145,6 +1176,8 @@
   posted_task flush_task_{loop_, [this] { flush(); }};
   posted_task reply_task_{loop_, [this] { reply_to_pending(); }};
   bool failed_ = false;
+  bool stopping_ = false;
+  bool serving_ended_ = false;  // pending requests have been answered
   std::vector<queued_command> queued_commands_;
   std::map<log_index, pending_entry> pending_entries_;
   std::vector<pending_renewal> pending_renewals_;
@@ -1213,6 +1246,11 @@
   const auto hangup = loop.on_signal(SIGHUP, reload);
   const auto watch = loop.every(settings_poll_interval, reload);
   loop.run();
+  const auto responses = loop.unfinished();
+  log_event(log_level::info, "stopped",
+            {{"open_responses", responses.open},
+             {"unsent_responses", responses.unsent},
+             {"unsent_bytes", responses.unsent_bytes}});
   return server.failed() ? 1 : 0;
 }
 
