Wait for crash reports and endpoint reports before a drain ends

A crash report that a VM had sent, or a leaving endpoint that it had acknowledged, was dropped when its process ended before the leader had acknowledged it: the leader knew one crash less, or sent requests on to an endpoint that leaves. Reports get 1 s after the last request, so that a VM without a leader does not stay away for its whole grace time.

drain_test crash_report_is_lost_at_the_end_of_a_drain fails without the wait (1 report pending at the end, 0 with it); drain_waits_for_an_unreachable_leader holds the bound. The stand-in ends through event_loop::finish, too. The outside of the VM in drain_test runs on a loop of its own now, since the drain waits for all responses of the VM's loop.

--- a/src/control_client.cpp
+++ b/src/control_client.cpp
@@ -344,6 +344,7 @@
   wire::report_request request;
   request.vm = options_.vm;
   request.endpoints = std::move(endpoints);
+  ++pending_reports_;
   call_leader(
       "/control/report", encode_wire(request),
       boottime_clock::now() + report_timeout,
@@ -352,7 +353,7 @@
         if (reply && reply->accepted) return std::nullopt;
         return reply ? reply->leader : "";
       },
-      [](const auto& /*body*/) {});
+      [this](const auto& /*body*/) { --pending_reports_; });
 }
 
 auto control_client::claim(const wire::claim_record& record, duration timeout,
@@ -391,9 +392,10 @@
 }
 
 auto control_client::report_crash(const wire::blame_command& report) -> void {
+  ++pending_reports_;
   call_leader("/control/blame", encode_wire(report),
               boottime_clock::now() + settle_timeout, parse_settle_reply,
-              [](const auto& /*body*/) {});
+              [this](const auto& /*body*/) { --pending_reports_; });
 }
 
 }  // namespace pollenloft
--- a/src/control_client.hpp
+++ b/src/control_client.hpp
@@ -97,6 +97,10 @@
     return pending_settlements_;
   }
 
+  /// Number of reports of endpoints and crashes that the leader has not
+  /// acknowledged yet.
+  auto pending_reports() const -> std::size_t { return pending_reports_; }
+
   sigc::signal<void()> config_changed;
   sigc::signal<void()> leader_changed;
   sigc::signal<void()> document_changed;
@@ -155,6 +159,7 @@
   std::int64_t directory_sequence_ = 0;
   std::size_t vm_count_ = 1;
   std::size_t pending_settlements_ = 0;
+  std::size_t pending_reports_ = 0;
   std::map<std::string, wire::account_usage> usage_;
   crash_guard crash_guard_;
   std::int64_t suspects_digest_ = 0;  // of the records last received
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -15,6 +15,8 @@
 constexpr auto unconfirmed_grace = std::chrono::seconds(3);
 // Time for the last responses to be sent after open requests were ended.
 constexpr auto flush_timeout = milliseconds(400);
+// Time for reports to the leader to be acknowledged after the last request.
+constexpr auto report_flush_timeout = std::chrono::seconds(1);
 constexpr std::size_t max_open_requests = 8000;
 constexpr std::size_t max_idempotency_key_bytes = 200;
 constexpr std::size_t max_prompt_bytes = 256 * 1024;
@@ -528,7 +530,10 @@
   if (open_requests() > 0 || control_.pending_settlements() > 0) return;
   log_drain(log_level::info, "drain.finished");
   drain_timer_ = timer();
-  loop_.finish(grace_end_ - boottime_clock::now());
+  const auto now = boottime_clock::now();
+  loop_.finish(grace_end_ - now, [this, until = now + report_flush_timeout] {
+    return control_.pending_reports() > 0 && boottime_clock::now() < until;
+  });
 }
 
 auto entry_server::open_requests() const -> std::size_t {
@@ -539,6 +544,7 @@
   const auto responses = loop_.unfinished();
   log_event(level, event,
             {{"open_requests", open_requests()},
+             {"pending_reports", control_.pending_reports()},
              {"open_responses", responses.open},
              {"unsent_responses", responses.unsent},
              {"unsent_bytes", responses.unsent_bytes}});
@@ -556,8 +562,9 @@
   ending_open_requests.emit();
   drain_timer_ = timer();
   grace_timer_ = timer();
-  loop_.finish(flush_timeout,
-               [this] { return control_.pending_settlements() > 0; });
+  loop_.finish(flush_timeout, [this] {
+    return control_.pending_settlements() + control_.pending_reports() > 0;
+  });
 }
 
 }  // namespace pollenloft
--- a/src/standin.cpp
+++ b/src/standin.cpp
@@ -16,6 +16,9 @@
 
 using json = nlohmann::json;
 
+/// Time for open responses to be completed at a stop.
+constexpr auto stop_timeout = std::chrono::seconds(5);
+
 const std::vector<setting> known_settings{
     {"fleet", "kincsnaplo", one_of{{"kincsnaplo", "juuksuriaeg"}},
      "deployment to simulate"},
@@ -124,8 +127,9 @@
     log_failure("start.failed", last_error());
     return 1;
   }
-  const auto terminate = loop.on_signal(SIGTERM, [&] { loop.stop(); });
-  const auto interrupt = loop.on_signal(SIGINT, [&] { loop.stop(); });
+  const auto shut_down = [&loop] { loop.finish(stop_timeout); };
+  const auto terminate = loop.on_signal(SIGTERM, shut_down);
+  const auto interrupt = loop.on_signal(SIGINT, shut_down);
   loop.run();
   return 0;
 }
--- a/test/drain_test.cpp
+++ b/test/drain_test.cpp
@@ -29,6 +29,10 @@
  public:
   explicit fake_leader(event_loop& loop)
       : server_(loop, http_limits{}, [this, &loop](const auto& call) {
+          if (call->request().path == "/control/blame") {
+            report = call;
+            return;
+          }
           reply_timer_ = loop.after(milliseconds(10), [this, call] {
             call->reply(200, {}, encode_wire(reply()));
           });
@@ -36,6 +40,8 @@
     CPPUNIT_ASSERT(server_.listen(control_address));
   }
 
+  exchange_ptr report;  ///< of a crash, not acknowledged
+
  private:
   static auto document() -> std::string {
     json routes;
@@ -152,9 +158,15 @@
   CPPUNIT_TEST(answers_of_the_front_are_cut_off_at_the_end_of_a_drain);
   CPPUNIT_TEST(streams_of_the_front_are_cut_off_at_the_end_of_a_drain);
   CPPUNIT_TEST(own_answers_are_cut_off_at_the_end_of_a_drain);
+  CPPUNIT_TEST(crash_report_is_lost_at_the_end_of_a_drain);
+  CPPUNIT_TEST(drain_waits_for_an_unreachable_leader);
   CPPUNIT_TEST_SUITE_END();
 
+  // Leader, endpoint and callers run on a loop of their own, as the drain waits
+  // for all responses of the loop of the VM.
+  std::unique_ptr<event_loop> outside_;
   std::unique_ptr<event_loop> loop_;
+  timer outside_timer_;
   std::unique_ptr<fake_leader> leader_;
   std::unique_ptr<http_server> endpoint_;
   std::vector<exchange_ptr> runs_;  // at the endpoint
@@ -164,10 +176,12 @@
 
  public:
   auto setUp() -> void override {
+    outside_ = std::make_unique<event_loop>();
     loop_ = std::make_unique<event_loop>();
-    leader_ = std::make_unique<fake_leader>(*loop_);
+    outside_timer_ = loop_->every(milliseconds(1), [this] { run_outside(); });
+    leader_ = std::make_unique<fake_leader>(*outside_);
     endpoint_ = std::make_unique<http_server>(
-        *loop_, http_limits{},
+        *outside_, http_limits{},
         [this](const exchange_ptr& call) { runs_.push_back(call); });
     CPPUNIT_ASSERT(endpoint_->listen(endpoint_address));
     start_vm();
@@ -179,7 +193,15 @@
     stop_vm();
     endpoint_.reset();
     leader_.reset();
+    outside_timer_ = timer();
     loop_.reset();
+    outside_.reset();
+  }
+
+  /// Runs what is due on the other loop.
+  auto run_outside() -> void {
+    outside_->post([this] { outside_->stop(); });
+    outside_->run();
   }
 
   auto start_vm() -> void {
@@ -235,7 +257,8 @@
   auto drain(const socket_address& address, const std::string& path,
              bool stream) -> void {
     for (std::size_t i = 0; i < caller_count; ++i) {
-      callers_.push_back(std::make_unique<slow_caller>(*loop_, address, path));
+      callers_.push_back(
+          std::make_unique<slow_caller>(*outside_, address, path));
       if (i % connect_batch == 0) wait(milliseconds(10));
     }
     wait(milliseconds(300));
@@ -265,6 +288,29 @@
   auto own_answers_are_cut_off_at_the_end_of_a_drain() -> void {
     drain(own_address, "/services/app/1", false);
   }
+
+  auto crash_report_is_lost_at_the_end_of_a_drain() -> void {
+    entry_->control().report_crash({});
+    wait(milliseconds(50));
+    CPPUNIT_ASSERT(leader_->report);
+    entry_->shut_down();
+    const auto reply = loop_->after(milliseconds(300), [this] {
+      wire::settle_reply accepted;
+      accepted.accepted = true;
+      leader_->report->reply(200, {}, encode_wire(accepted));
+    });
+    loop_->run();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, entry_->control().pending_reports());
+  }
+
+  auto drain_waits_for_an_unreachable_leader() -> void {
+    leader_.reset();
+    entry_->control().report_crash({});
+    const auto start = boottime_clock::now();
+    entry_->shut_down();
+    loop_->run();
+    CPPUNIT_ASSERT(boottime_clock::now() - start < std::chrono::seconds(5));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(drain_test);
