Keep draining when SIGTERM is repeated

Whoever stops processes may repeat the signal, and both are planned work, so no request may lose its answer by it. Further SIGTERMs now change nothing; SIGINT during the drain ends open requests, as an operator at a terminal expects.

entry_server_test repeated_termination_ends_open_requests fails before: the open requests are ended (1 of 0), after 1.0 s of a notice of 1.5 s. The two cases that used the second SIGTERM to end requests use shut_down_now, with their assertions as they were.

--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -513,7 +513,7 @@
 
 auto entry_server::shut_down() -> void {
   if (options_.disabled_mechanism == "drain") return loop_.stop();
-  if (shutting_down_) return end_open_requests();
+  if (shutting_down_) return;
   shutting_down_ = true;
   log_drain(log_level::info, "drain.started");
   phase_ = drain_phase::notice;
@@ -550,6 +550,12 @@
              {"unsent_bytes", responses.unsent_bytes}});
 }
 
+auto entry_server::shut_down_now() -> void {
+  if (options_.disabled_mechanism == "drain" || !shutting_down_)
+    return shut_down();
+  end_open_requests();
+}
+
 auto entry_server::end_open_requests() -> void {
   phase_ = drain_phase::refusing;
   server_.close_listener();
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -42,8 +42,10 @@
   /// Listens and starts to renew the configuration lease. Empty if the address
   /// cannot be bound, see `last_error`.
   auto start() -> std::optional<bool>;
-  /// Drains, then stops the loop. A second call ends open requests at once.
+  /// Drains, then stops the loop. Further calls change nothing.
   auto shut_down() -> void;
+  /// As `shut_down`, but ends open requests at once if the VM drains already.
+  auto shut_down_now() -> void;
   /// Replies with all metrics of this VM in the Prometheus text format.
   auto show_metrics(const exchange_ptr& call) -> void;
   /// Sets the count of open requests on another server of this VM; shutdown
--- a/src/entryd.cpp
+++ b/src/entryd.cpp
@@ -150,12 +150,14 @@
     return 1;
   }
   log_event(log_level::info, "started", {{"listen", values.text("listen")}});
-  const auto shut_down = [&] {
+  const auto terminate = loop.on_signal(SIGTERM, [&] {
     if (front) front->drain();
     server.shut_down();
-  };
-  const auto terminate = loop.on_signal(SIGTERM, shut_down);
-  const auto interrupt = loop.on_signal(SIGINT, shut_down);
+  });
+  const auto interrupt = loop.on_signal(SIGINT, [&] {
+    if (front) front->drain();
+    server.shut_down_now();
+  });
   settings_reloader reloader("pollenloft-entryd [settings]", known_settings,
                              argc, argv);
   const auto reload = [&] {
--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -96,6 +96,7 @@
 }
 
 auto front_server::drain() -> void {
+  if (draining_) return;
   draining_ = true;
   drain_timer_ = loop_.after(options_.drain_notice, [this] {
     refusing_new_ = true;
--- a/test/entry_server_test.cpp
+++ b/test/entry_server_test.cpp
@@ -13,6 +13,7 @@
 class entry_server_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(entry_server_test);
   CPPUNIT_TEST(second_shutdown_restarts_the_drain_notice);
+  CPPUNIT_TEST(repeated_termination_ends_open_requests);
   CPPUNIT_TEST(request_is_accepted_after_a_second_shutdown);
   CPPUNIT_TEST(configuration_makes_a_vm_ready_that_shuts_down);
   CPPUNIT_TEST_SUITE_END();
@@ -50,15 +51,28 @@
     wait(milliseconds(100));
     CPPUNIT_ASSERT_EQUAL(0, ended_);
     const auto second = boottime_clock::now();
-    server_->shut_down();
+    server_->shut_down_now();
     CPPUNIT_ASSERT_EQUAL(1, ended_);
     loop_.run();
     CPPUNIT_ASSERT(boottime_clock::now() - second < milliseconds(1000));
   }
 
-  auto request_is_accepted_after_a_second_shutdown() -> void {
+  auto repeated_termination_ends_open_requests() -> void {
+    const auto first = boottime_clock::now();
+    server_->shut_down();
+    wait(milliseconds(1000));
     server_->shut_down();
+    CPPUNIT_ASSERT_EQUAL(0, ended_);
+    loop_.run();
+    CPPUNIT_ASSERT_EQUAL(0, ended_);
+    const auto elapsed = boottime_clock::now() - first;
+    CPPUNIT_ASSERT(elapsed >= milliseconds(1500));
+    CPPUNIT_ASSERT(elapsed < milliseconds(2500));
+  }
+
+  auto request_is_accepted_after_a_second_shutdown() -> void {
     server_->shut_down();
+    server_->shut_down_now();
     http_client caller(loop_);
     std::optional<call_result> outcome;
     caller.send({entry_address, "GET", "/healthz"},
