--- a/include/pollenloft/poison.hpp
+++ b/include/pollenloft/poison.hpp
@@ -20,8 +20,15 @@
 auto request_fingerprint(std::string_view account, std::string_view target,
                          std::string_view body) -> std::uint64_t;
 
+/// Identifies a part of prompts over all requests of a service that share it.
+auto part_fingerprint(std::string_view service, std::string_view part)
+    -> std::uint64_t;
+
 /// A fingerprint as it appears in logs and in operators' commands.
 auto fingerprint_text(std::uint64_t fingerprint) -> std::string;
+/// Several fingerprints, separated by commas.
+auto fingerprints_text(const std::vector<std::uint64_t>& fingerprints)
+    -> std::string;
 /// Empty, see `last_error`, if the text is not a fingerprint.
 auto parse_fingerprint(const std::string& text) -> std::optional<std::uint64_t>;
 
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -39,7 +39,8 @@
   std::string account;                     ///< empty on public routes
   std::int32_t priority = 1;
   platform::caller_headers headers;
-  std::uint64_t fingerprint = 0;  ///< of account, target and body
+  std::uint64_t fingerprint = 0;     ///< of account, target and body
+  std::vector<std::uint64_t> parts;  ///< fingerprints of shared prompt parts
   instant arrived{};
   instant accepted{};  ///< later than `arrived` if the request was deferred
   instant deadline{};
--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -224,6 +224,8 @@
   if (service.engine) params.engine = &*service.engine;
   params.fingerprint =
       request_fingerprint(params.account, request.target, request.body);
+  for (const auto& part : params.headers.prompt_parts)
+    params.parts.push_back(part_fingerprint(params.service, part));
   params.arrived = arrived;
   params.accepted = boottime_clock::now();
   const auto timeout = params.headers.deadline.value_or(default_timeout);
--- a/src/poison.cpp
+++ b/src/poison.cpp
@@ -43,6 +43,19 @@
   return hash64(body, hash64(std::string(account).append(target)));
 }
 
+auto part_fingerprint(std::string_view service, std::string_view part)
+    -> std::uint64_t {
+  return hash64(part, hash64(std::string("part/").append(service)));
+}
+
+auto fingerprints_text(const std::vector<std::uint64_t>& fingerprints)
+    -> std::string {
+  std::string text;
+  for (const auto fingerprint : fingerprints)
+    text += (text.empty() ? "" : ",") + fingerprint_text(fingerprint);
+  return text;
+}
+
 auto fingerprint_text(std::uint64_t fingerprint) -> std::string {
   std::ostringstream text;
   text << std::hex << std::setfill('0') << std::setw(hex_digits) << fingerprint;
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -79,6 +79,7 @@
   CPPUNIT_TEST(event_ids_are_parsed);
   CPPUNIT_TEST(runner_state_is_decoded);
   CPPUNIT_TEST(fuzz_corrupted_input);
+  CPPUNIT_TEST(last_prompt_part_counts_as_shared);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -333,6 +334,24 @@
       }
     });
   }
+
+  auto last_prompt_part_counts_as_shared() -> void {
+    const auto parts_of = [](const std::string& list) {
+      http_headers headers;
+      headers.add("Prefix-Hash", list);
+      return platform::decode_caller_headers(headers).prompt_parts;
+    };
+    using list = std::vector<std::string>;
+    CPPUNIT_ASSERT((list{"5c1e", "91bd"}) ==
+                   parts_of("5c1e:800, 91bd:410,e440:250"));
+    CPPUNIT_ASSERT(list{} == parts_of("5c1e:800"));
+    CPPUNIT_ASSERT(list{} == parts_of(""));
+    CPPUNIT_ASSERT((list{"a", "b"}) == parts_of("a,b:x,c"));
+    std::string many;
+    for (int i = 0; i < 100; ++i)
+      many += std::to_string(i) + ":1,";
+    CPPUNIT_ASSERT_EQUAL(std::size_t{16}, parts_of(many).size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(platform_test);
