--- a/test/front_server_test.cpp
+++ b/test/front_server_test.cpp
@@ -160,6 +160,7 @@
   CPPUNIT_TEST(retry_runs_after_the_third_crash);
   CPPUNIT_TEST_SUITE_END();
 
+ protected:
   event_loop loop_;
   std::unique_ptr<fake_leader> leader_;
   std::unique_ptr<http_client> client_;
@@ -495,4 +496,70 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(front_server_test);
 
+class front_prompt_part_test : public front_server_test {
+  CPPUNIT_TEST_SUITE(front_prompt_part_test);
+  CPPUNIT_TEST(requests_with_a_part_that_crashes_endpoints_run_on);
+  CPPUNIT_TEST(sound_requests_are_held_with_the_part_of_others);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// A request of its own that shares parts of its prompt with others.
+  static auto call_with_parts(const std::string& parts) -> http_call {
+    static int count = 0;
+    const auto own = std::to_string(++count);
+    auto call = make_call("/x/" + own);
+    call.headers.add("Prefix-Hash", parts + ",f" + own + ":9");
+    return call;
+  }
+
+  /// Crashes the endpoint under each request whose prompt has the part "bad".
+  auto crash_on_part(int& runs) -> void {
+    endpoint_.reset();
+    endpoint_ = std::make_unique<http_server>(
+        loop_, http_limits{}, [&runs, this](const exchange_ptr& call) {
+          const auto parts =
+              call->request().headers.find("Prefix-Hash").value_or("");
+          if (parts.find("bad:") == std::string::npos) return reply_done(call);
+          ++runs;
+          call->abort();
+          loop_.post([this] { endpoint_->close_listener(); });
+        });
+    CPPUNIT_ASSERT(endpoint_->listen(endpoint_address));
+  }
+
+  /// Sends new requests with the part, each to an endpoint that has just
+  /// started, with some time between them.
+  auto crash_with_part(int count, int& runs) -> std::vector<int> {
+    std::vector<int> statuses;
+    for (int i = 0; i < count; ++i) {
+      crash_on_part(runs);
+      statuses.push_back(send(call_with_parts("all:40,bad:200")).status);
+      restart_endpoint();
+      wait(milliseconds(300));
+    }
+    return statuses;
+  }
+
+ public:
+  auto requests_with_a_part_that_crashes_endpoints_run_on() -> void {
+    receive_document();
+    auto runs = 0;
+    const auto statuses = crash_with_part(8, runs);
+    CPPUNIT_ASSERT(runs <= 5);
+    CPPUNIT_ASSERT_EQUAL(503, statuses.back());
+  }
+
+  auto sound_requests_are_held_with_the_part_of_others() -> void {
+    receive_document();
+    CPPUNIT_ASSERT_EQUAL(200, send(call_with_parts("all:40,own:9")).status);
+    auto runs = 0;
+    crash_with_part(6, runs);
+    for (int i = 0; i < 10; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, send(call_with_parts("all:40,own:9")).status);
+      CPPUNIT_ASSERT_EQUAL(200, send(call_with_parts("all:40,new:9")).status);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(front_prompt_part_test);
+
 }  // namespace pollenloft::test
