Read nothing from a caller while its answer is written

Callers saw complete answers end in the middle: callers that read steadily, but for longer than the idle timeout (60 s by default), and callers that half-closed the connection while they read.

Cause: evhttp keeps reading while it writes a response, to notice a close. The idle timeout was restored when the response was handed to evhttp, so it acted as a read timeout on a caller that has nothing to send, and an end of its input closed the connection. Both drop the rest of the response in the buffer.

Ruled out: a caller that takes no data. In the tests it reads without pause until the connection ends. The write timeout is no cause either: the socket gets 16 KiB at a time and becomes writable again after about as much has been taken, so it measures progress; a caller of 160 KB/s keeps its connection at a timeout of 1 s.

Change: a connection does not read while a complete response is written, and has a write timeout only. The idle timeout is set when the socket has the last byte. Callers that leave for good are noticed by the failing write. The record of a connection is shared with its exchange, as evhttp can free the connection while it takes the end of a response.

--- a/src/net.cpp
+++ b/src/net.cpp
@@ -238,11 +238,13 @@
 
 namespace {
 
-/// A caller's connection that has sent at least one request.
+/// A caller's connection that has sent at least one request. evhttp can free
+/// the connection while it takes the end of a response.
 struct caller_connection {
   evhttp_connection* handle = nullptr;
   exchange::impl* current = nullptr;  // null once its response is complete
   bool sending = false;  // a complete response is not yet written to the socket
+  duration idle_timeout{};
 
   auto stream() const -> bufferevent* {
     return evhttp_connection_get_bufferevent(handle);
@@ -251,24 +253,36 @@
     return evbuffer_get_length(bufferevent_get_output(stream()));
   }
   /// Watches a complete response until the socket has accepted its last byte.
+  /// Only a caller that takes no data ends it early.
   auto watch_response(evhttp_request* request) -> void {
     sending = true;
     evhttp_request_set_on_complete_cb(request, &on_sent, this);
+    const auto timeout = to_timeval(idle_timeout);
+    bufferevent_set_timeouts(stream(), nullptr, &timeout);
+  }
+  /// Keeps an end of the caller's input from ending the response. To be called
+  /// after evhttp has got the response, since it enables reading then; it does
+  /// so again once the response is written.
+  auto stop_reading() const -> void {
+    if (sending) bufferevent_disable(stream(), EV_READ);
   }
   static auto on_sent(evhttp_request* /*request*/, void* arg) -> void {
-    static_cast<caller_connection*>(arg)->sending = false;
+    auto* self = static_cast<caller_connection*>(arg);
+    self->sending = false;
+    const auto timeout = to_timeval(self->idle_timeout);
+    bufferevent_set_timeouts(self->stream(), &timeout, &timeout);
   }
 };
+using caller_connection_ptr = std::shared_ptr<caller_connection>;
 
 }  // namespace
 
 struct exchange::impl {
   evhttp_request* handle = nullptr;  // null after the response or a close
-  caller_connection* connection = nullptr;
+  caller_connection_ptr connection;
   http_request request;
   sigc::signal<void()> closed;
   bool started = false;
-  duration idle_timeout{};  // of the connection after the response
 
   /// Detects that the caller disconnects before the response has ended. evhttp
   /// stops reading after a request, so it would not notice the close. Bytes
@@ -294,12 +308,10 @@
     closed.emit();
   }
 
-  /// Stops watching the connection and restores its idle timeout.
+  /// Ends the exchange; what is left is to write the response.
   auto release() -> void {
     connection->current = nullptr;
     connection->watch_response(handle);
-    const auto timeout = to_timeval(idle_timeout);
-    bufferevent_set_timeouts(connection->stream(), &timeout, &timeout);
     handle = nullptr;
   }
 };
@@ -338,6 +350,7 @@
   evbuffer_add(buffer, body.data(), body.size());
   evhttp_send_reply(handle, status, nullptr, buffer);
   evbuffer_free(buffer);
+  impl_->connection->stop_reading();
 }
 
 auto exchange::start(int status, const http_headers& headers) -> void {
@@ -362,6 +375,7 @@
   auto* handle = impl_->handle;
   impl_->release();
   evhttp_send_reply_end(handle);
+  impl_->connection->stop_reading();
 }
 
 auto exchange::abort() -> void {
@@ -382,16 +396,18 @@
   handler on_request;
   evhttp* http = nullptr;
   evhttp_bound_socket* socket = nullptr;
-  std::map<evhttp_connection*, caller_connection> connections;
+  std::map<evhttp_connection*, caller_connection_ptr> connections;
 
   impl(event_loop& loop, http_limits limits, handler on_request)
       : loop(loop), limits(limits), on_request(std::move(on_request)) {}
 
   /// The record of the connection on which `handle` arrived.
-  auto connection_of(evhttp_request* handle) -> caller_connection& {
+  auto connection_of(evhttp_request* handle) -> caller_connection_ptr {
     auto* connection = evhttp_request_get_connection(handle);
     auto& record = connections[connection];
-    record = {connection};
+    record = std::make_shared<caller_connection>();
+    record->handle = connection;
+    record->idle_timeout = limits.idle_timeout;
     evhttp_connection_set_closecb(connection, &on_close, this);
     return record;
   }
@@ -399,9 +415,9 @@
   auto unfinished() const -> unfinished_responses {
     unfinished_responses result;
     for (const auto& [handle, connection] : connections) {
-      if (connection.current == nullptr && !connection.sending) continue;
-      ++(connection.sending ? result.unsent : result.open);
-      result.unsent_bytes += connection.unsent_bytes();
+      if (connection->current == nullptr && !connection->sending) continue;
+      ++(connection->sending ? result.unsent : result.open);
+      result.unsent_bytes += connection->unsent_bytes();
     }
     return result;
   }
@@ -415,24 +431,26 @@
   /// Tells callers that no further response follows.
   auto shut_down_connections() const -> void {
     for (const auto& [handle, connection] : connections)
-      shutdown(bufferevent_getfd(connection.stream()), SHUT_WR);
+      shutdown(bufferevent_getfd(connection->stream()), SHUT_WR);
   }
 
   static auto on_close(evhttp_connection* connection, void* arg) -> void {
     auto closed = static_cast<impl*>(arg)->connections.extract(connection);
-    if (!closed.empty() && closed.mapped().current != nullptr)
-      closed.mapped().current->handle_close();
+    if (!closed.empty() && closed.mapped()->current != nullptr)
+      closed.mapped()->current->handle_close();
   }
 
   auto reply_error(evhttp_request* handle, int status, const char* message)
       -> void {
-    connection_of(handle).watch_response(handle);
+    const auto connection = connection_of(handle);
+    connection->watch_response(handle);
     auto* buffer = evbuffer_new();
     evbuffer_add_printf(buffer, "%s\n", message);
     evhttp_add_header(evhttp_request_get_output_headers(handle),
                       "Pollenloft-Outcome", "not-run");
     evhttp_send_reply(handle, status, nullptr, buffer);
     evbuffer_free(buffer);
+    connection->stop_reading();
   }
 
   static auto on_evhttp_request(evhttp_request* handle, void* arg) -> void {
@@ -451,15 +469,14 @@
         evhttp_uri_get_path(evhttp_request_get_evhttp_uri(handle));
     request.path = path != nullptr && *path != '\0' ? path : "/";
     request.body = buffer_text(evhttp_request_get_input_buffer(handle));
-    auto& connection = connection_of(handle);
+    const auto connection = connection_of(handle);
     char* host = nullptr;
     ev_uint16_t port = 0;
-    evhttp_connection_get_peer(connection.handle, &host, &port);
+    evhttp_connection_get_peer(connection->handle, &host, &port);
     request.peer =
         std::string(host != nullptr ? host : "") + ":" + std::to_string(port);
     state->handle = handle;
-    state->connection = &connection;
-    state->idle_timeout = limits.idle_timeout;
+    state->connection = connection;
     state->watch_for_close();
     on_request(std::make_shared<exchange>(std::move(state)));
   }
--- a/test/response_end_test.cpp
+++ b/test/response_end_test.cpp
@@ -106,6 +106,7 @@
 class cut_answer_test : public response_fixture {
   CPPUNIT_TEST_SUITE(cut_answer_test);
   CPPUNIT_TEST(answer_is_cut_at_the_idle_timeout_while_its_caller_reads);
+  CPPUNIT_TEST(answer_is_cut_while_its_caller_reads_slowly);
   CPPUNIT_TEST(answer_is_cut_when_its_caller_half_closes_while_reading);
   CPPUNIT_TEST(closing_answer_is_cut_by_the_next_request);
   CPPUNIT_TEST_SUITE_END();
@@ -125,6 +126,22 @@
     CPPUNIT_ASSERT_EQUAL(4 * large_bytes, caller.body_bytes());
   }
 
+  /// Far fewer bytes within the idle timeout than a socket buffers.
+  auto answer_is_cut_while_its_caller_reads_slowly() -> void {
+    http_limits limits;
+    limits.idle_timeout = std::chrono::seconds(1);
+    serve(
+        [](const exchange_ptr& call) {
+          call->reply(200, {}, std::string(4 * large_bytes, 'x'));
+        },
+        limits);
+    raw_caller caller(*loop_, milliseconds(50));
+    caller.send(request_text("POST"));
+    wait(std::chrono::seconds(3));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server_->unfinished().unsent);
+    CPPUNIT_ASSERT(!caller.ended());
+  }
+
   auto answer_is_cut_when_its_caller_half_closes_while_reading() -> void {
     serve([](const exchange_ptr& call) {
       call->reply(200, {}, std::string(4 * large_bytes, 'x'));
@@ -162,6 +179,9 @@
   CPPUNIT_TEST(open_exchange_is_used_after_its_server_has_ended);
   CPPUNIT_TEST(requests_during_the_linger_break_the_loop);
   CPPUNIT_TEST(request_during_the_linger_cuts_the_answer_before_it);
+  CPPUNIT_TEST(answer_stays_unsent_after_its_caller_has_left);
+  CPPUNIT_TEST(answer_stays_unsent_while_its_caller_reads_nothing);
+  CPPUNIT_TEST(connection_outlives_its_idle_timeout);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -287,6 +307,67 @@
     wait_for_end(caller, large_bytes / 8, std::chrono::seconds(5));
     CPPUNIT_ASSERT_EQUAL(large_bytes / 8, caller.body_bytes());
   }
+
+  auto wait_until_sent(std::chrono::seconds limit) -> void {
+    const auto end = boottime_clock::now() + limit;
+    while (server_->unfinished().unsent > 0 && boottime_clock::now() < end)
+      wait(milliseconds(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server_->unfinished().unsent);
+  }
+
+  /// Callers that close with and without unread input, at once and later.
+  auto answer_stays_unsent_after_its_caller_has_left() -> void {
+    serve([](const exchange_ptr& call) {
+      call->reply(200, {}, std::string(4 * large_bytes, 'x'));
+    });
+    for (const auto time : {milliseconds(0), milliseconds(100)})
+      for (const auto half_close : {false, true}) {
+        {
+          raw_caller caller(*loop_);
+          caller.send(request_text("POST"));
+          wait(time);
+          if (half_close) caller.half_close();
+          wait(milliseconds(20));
+          CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server_->unfinished().unsent);
+        }
+        wait_until_sent(std::chrono::seconds(5));
+      }
+    const auto start = boottime_clock::now();
+    loop_->finish(std::chrono::seconds(3));
+    loop_->run();
+    CPPUNIT_ASSERT(boottime_clock::now() - start < milliseconds(100));
+  }
+
+  auto answer_stays_unsent_while_its_caller_reads_nothing() -> void {
+    http_limits limits;
+    limits.idle_timeout = std::chrono::seconds(1);
+    serve(
+        [](const exchange_ptr& call) {
+          call->reply(200, {}, std::string(4 * large_bytes, 'x'));
+        },
+        limits);
+    raw_caller caller(*loop_, std::chrono::hours(1));
+    caller.send(request_text("POST"));
+    wait(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server_->unfinished().unsent);
+    wait_until_sent(std::chrono::seconds(10));
+  }
+
+  auto connection_outlives_its_idle_timeout() -> void {
+    http_limits limits;
+    limits.idle_timeout = std::chrono::seconds(1);
+    serve([](const exchange_ptr& call) { call->reply(200, {}, "answer"); },
+          limits);
+    raw_caller caller(*loop_);
+    caller.send(request_text("POST"));
+    wait(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, caller.body_bytes());
+    CPPUNIT_ASSERT(!caller.ended());
+    const auto end = boottime_clock::now() + std::chrono::seconds(10);
+    while (!caller.ended() && boottime_clock::now() < end)
+      wait(milliseconds(20));
+    CPPUNIT_ASSERT(caller.ended());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(cut_answer_test);
