Read on after the last response of a connection until its caller ends it

Callers lost the end of complete answers with "Connection: close", as all are during a drain, when they sent anything more before they had read the answer.

Cause: evhttp closes the connection as soon as the kernel has the last byte. Input that arrives afterwards makes the kernel reset the connection, which discards what the caller has not received.

Ruled out: bytes left in the process. The test sees nothing unsent before the caller sends again.

Change: when evhttp closes a connection whose responses have all been written, the server keeps a copy of the descriptor, half-closes it, and discards input until its end, an error or the idle timeout; 1000 descriptors a server at most, the oldest are closed first. This covers connections that end at the idle timeout too. The linger phase of event_loop::finish waits for them; they are not unsent. Responses that are aborted or were not all written end as before.

New cases: the caller sees the end of the answer at once while its side is open, and the loop finishes after the linger time; steady input is cut off at the idle timeout; of 1200 such connections 1000 stay open, and none once their callers close.

--- a/src/net.cpp
+++ b/src/net.cpp
@@ -5,15 +5,19 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <signal.h>
 #include <strings.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cstring>
 #include <deque>
+#include <list>
 #include <set>
 #include <utility>
 
@@ -273,6 +277,56 @@
     bufferevent_set_timeouts(self->stream(), &timeout, &timeout);
   }
 };
+/// Open sockets of connections that have ended, at most.
+constexpr std::size_t max_lingering = 1000;
+
+/// The socket of an ended connection whose responses have been written. It is
+/// closed only after the caller has ended its input: closing it with unread
+/// input would reset the connection and discard what the caller has not
+/// received yet.
+class lingering_socket {
+ public:
+  /// `ended` destroys this object; it is called after `limit` at the latest.
+  lingering_socket(event_base* base, int socket, duration limit, task ended)
+      : socket_(socket),
+        readable_(event_new(base, socket, EV_READ, &on_event, this)),
+        until_(boottime_clock::now() + limit),
+        ended_(std::move(ended)) {
+    shutdown(socket_, SHUT_WR);
+    wait();
+  }
+  ~lingering_socket() {
+    event_free(readable_);
+    ::close(socket_);
+  }
+  lingering_socket(const lingering_socket&) = delete;
+  auto operator=(const lingering_socket&) -> lingering_socket& = delete;
+
+ private:
+  auto wait() -> void {
+    const auto rest = until_ - boottime_clock::now();
+    const auto timeout = to_timeval(std::max<duration>(rest, milliseconds(0)));
+    event_add(readable_, &timeout);
+  }
+  /// Returns whether the caller may send more.
+  auto discard_input() const -> bool {
+    std::array<char, 16384> part{};
+    const auto size = ::recv(socket_, part.data(), part.size(), 0);
+    return size > 0 || (size < 0 && (errno == EAGAIN || errno == EINTR));
+  }
+  static auto on_event(int /*socket*/, short what, void* arg) -> void {
+    auto* self = static_cast<lingering_socket*>(arg);
+    if ((what & EV_TIMEOUT) == 0 && self->discard_input()) return self->wait();
+    const auto ended = self->ended_;
+    ended();
+  }
+
+  int socket_;
+  event* readable_;
+  instant until_;
+  task ended_;
+};
+
 using caller_connection_ptr = std::shared_ptr<caller_connection>;
 
 }  // namespace
@@ -397,6 +451,7 @@
   evhttp* http = nullptr;
   evhttp_bound_socket* socket = nullptr;
   std::map<evhttp_connection*, caller_connection_ptr> connections;
+  std::list<std::unique_ptr<lingering_socket>> lingering;  // the oldest first
 
   impl(event_loop& loop, http_limits limits, handler on_request)
       : loop(loop), limits(limits), on_request(std::move(on_request)) {}
@@ -434,10 +489,25 @@
       shutdown(bufferevent_getfd(connection->stream()), SHUT_WR);
   }
 
+  /// Keeps the socket of a connection that evhttp is about to close.
+  auto linger(const caller_connection& connection) -> void {
+    const auto socket =
+        fcntl(bufferevent_getfd(connection.stream()), F_DUPFD_CLOEXEC, 0);
+    if (socket < 0) return;
+    if (lingering.size() >= max_lingering) lingering.pop_front();
+    const auto place = lingering.emplace(lingering.end());
+    *place = std::make_unique<lingering_socket>(
+        loop.base(), socket, limits.idle_timeout,
+        [this, place] { lingering.erase(place); });
+  }
+
   static auto on_close(evhttp_connection* connection, void* arg) -> void {
-    auto closed = static_cast<impl*>(arg)->connections.extract(connection);
-    if (!closed.empty() && closed.mapped()->current != nullptr)
-      closed.mapped()->current->handle_close();
+    auto* self = static_cast<impl*>(arg);
+    const auto closed = self->connections.extract(connection);
+    if (closed.empty()) return;
+    const auto& record = *closed.mapped();
+    if (record.current != nullptr) return record.current->handle_close();
+    if (!record.sending) self->linger(record);
   }
 
   auto reply_error(evhttp_request* handle, int status, const char* message)
@@ -544,7 +614,7 @@
   }
   return now >= linger_until ||
          std::all_of(servers.begin(), servers.end(), [](const auto* server) {
-           return server->connections.empty();
+           return server->connections.empty() && server->lingering.empty();
          });
 }
 
--- a/test/response_end_test.cpp
+++ b/test/response_end_test.cpp
@@ -3,6 +3,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <filesystem>
+
 #include "pollenloft/net.hpp"
 #include "property.hpp"
 
@@ -44,6 +46,12 @@
     CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(text.size()),
                          ::send(socket_, text.data(), text.size(), 0));
   }
+  /// Notes whether the server has reset the connection.
+  auto try_send(const std::string& text) -> void {
+    if (::send(socket_, text.data(), text.size(), MSG_NOSIGNAL) < 0)
+      reset_ = errno == EPIPE || errno == ECONNRESET;
+  }
+  auto reset() const -> bool { return reset_; }
   auto half_close() -> void { ::shutdown(socket_, SHUT_WR); }
   auto ended() const -> bool { return ended_; }
   auto received() const -> const std::string& { return received_; }
@@ -63,9 +71,15 @@
   int socket_;
   std::string received_;
   bool ended_ = false;
+  bool reset_ = false;
   timer timer_;
 };
 
+auto open_sockets() -> std::size_t {
+  const std::filesystem::directory_iterator files("/proc/self/fd");
+  return static_cast<std::size_t>(std::distance(begin(files), end(files)));
+}
+
 }  // namespace
 
 /// A server and callers on one loop.
@@ -182,6 +196,9 @@
   CPPUNIT_TEST(answer_stays_unsent_after_its_caller_has_left);
   CPPUNIT_TEST(answer_stays_unsent_while_its_caller_reads_nothing);
   CPPUNIT_TEST(connection_outlives_its_idle_timeout);
+  CPPUNIT_TEST(closed_connection_keeps_its_caller_waiting);
+  CPPUNIT_TEST(closed_connection_outlives_its_idle_timeout);
+  CPPUNIT_TEST(closed_connections_use_up_the_sockets);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -368,6 +385,71 @@
       wait(milliseconds(20));
     CPPUNIT_ASSERT(caller.ended());
   }
+
+  /// Answers a caller that keeps its side of the connection open.
+  auto serve_closing(http_limits limits = {}) -> void {
+    serve(
+        [](const exchange_ptr& call) {
+          call->reply(200, http_headers().add("Connection", "close"), "answer");
+        },
+        limits);
+  }
+  auto finish_time() -> duration {
+    const auto start = boottime_clock::now();
+    loop_->finish(std::chrono::seconds(10));
+    loop_->run();
+    return boottime_clock::now() - start;
+  }
+
+  auto closed_connection_keeps_its_caller_waiting() -> void {
+    serve_closing();
+    raw_caller caller(*loop_);
+    caller.send(request_text("POST"));
+    wait_for_end(caller, large_bytes, std::chrono::seconds(5));
+    CPPUNIT_ASSERT(caller.ended());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, caller.body_bytes());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server_->unfinished().unsent);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server_->unfinished().open);
+    const auto time = finish_time();
+    CPPUNIT_ASSERT(time >= milliseconds(200));
+    CPPUNIT_ASSERT(time < std::chrono::seconds(5));
+  }
+
+  /// Also under steady input.
+  auto closed_connection_outlives_its_idle_timeout() -> void {
+    http_limits limits;
+    limits.idle_timeout = std::chrono::seconds(1);
+    serve_closing(limits);
+    raw_caller silent(*loop_);
+    raw_caller talking(*loop_);
+    silent.send(request_text("POST"));
+    talking.send(request_text("POST"));
+    const auto end = boottime_clock::now() + std::chrono::seconds(10);
+    while (!talking.reset() && boottime_clock::now() < end) {
+      wait(milliseconds(20));
+      talking.try_send("x");
+    }
+    CPPUNIT_ASSERT(talking.reset());
+    wait(milliseconds(50));
+    CPPUNIT_ASSERT(finish_time() < milliseconds(200));
+  }
+
+  auto closed_connections_use_up_the_sockets() -> void {
+    serve_closing();
+    const auto before = open_sockets();
+    std::vector<std::unique_ptr<raw_caller>> callers;
+    for (int i = 0; i < 1200; ++i) {
+      callers.push_back(
+          std::make_unique<raw_caller>(*loop_, std::chrono::hours(1)));
+      callers.back()->send(request_text("POST"));
+      if (i % 50 == 0) wait(milliseconds(10));
+    }
+    wait(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(before + callers.size() + 1000, open_sockets());
+    callers.clear();
+    wait(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(before, open_sockets());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(cut_answer_test);
