Acknowledge a leave or a drain once another control VM has it

Seen: of 98 endpoints that left at one of three control VMs within some 10 ms, all got 200 and about a third stayed `up` at the leader: for 0.35 s if the control VM went on, for good if it got SIGTERM right after. Entry VMs learn of endpoints from the leader, so they could go on sending requests there.

Cause: work counted as done before it had left the process. Each change was a post of its own, a post beyond 64 in flight to a peer was dropped without a trace, the endpoint got its 200 before any peer had the change, and the stop waited for responses only, not for what other control VMs still had to get. Messages of the replicated log had the same 64 posts. The digest of the directories repaired the rest within a second, unless the process had ended.

Ruled out: a merge that refuses the record (each record that arrived was merged); loss at the receiver (64 of 98 arrived, as many as posts were allowed); the leader's process (leaves at the leader are lost at the others in the same way).

Change: `share_link` holds, for each peer, the ids of changed endpoints. They leave in one share at a time, with the records as they are when it is sent, again after a pause if it fails, apart from the posts of the log. A leave or a report of `draining`, repeated or not, is answered once the leader has it, or one other member if this replica leads; after 600 ms it is refused with 503. Other reports are answered at once as before. The stop waits up to 1 s for shares and part transfers. `share.failed` in the log and four metrics show shares, coalesced changes, retries and what is unacknowledged.

In `control_gateway_test` the host's functions have new names and take ids instead of records; what the records are is checked at `make_share`.

--- a/src/control_gateway.cpp
+++ b/src/control_gateway.cpp
@@ -158,16 +158,20 @@
 }
 
 auto control_gateway::publish(const std::set<std::string>& ids) -> void {
-  wire::directory_share share;
-  for (const auto& id : ids) {
-    const auto found = host_.directory().records().find(id);
-    if (found != host_.directory().records().end())
-      share.records.push_back(found->second);
-  }
-  host_.broadcast(share);
+  host_.share_changes(ids);
   host_.on_directory_changed();
 }
 
+auto control_gateway::acknowledge_shared(const exchange_ptr& call,
+                                         const std::string& id) -> void {
+  host_.confirm_change(id, [call, id](bool shared) {
+    if (shared) return reply_json(call, "{}");
+    log_event(log_level::warning, "endpoint.change_unconfirmed",
+              {{"endpoint", id}});
+    refuse(call, 503, "No other control VM has acknowledged the change.");
+  });
+}
+
 auto control_gateway::handle_report(const exchange_ptr& call,
                                     const std::string& id) -> void {
   auto record = platform::decode_report(id, call->request().body);
@@ -192,6 +196,8 @@
                {"last_layer", record->last_layer}});
     publish({id});
   }
+  // Repeated as well: the report before may not have left this process.
+  if (record->state != up) return acknowledge_shared(call, id);
   reply_json(call, "{}");
 }
 
@@ -203,7 +209,7 @@
     log_event(log_level::info, "endpoint.left", {{"endpoint", id}});
     publish({id});
   }
-  reply_json(call, "{}");
+  acknowledge_shared(call, id);
 }
 
 auto control_gateway::handle_directory_share(const wire::directory_share& share)
@@ -225,19 +231,33 @@
   if (!differs || now - last_full_share_[share.sender] < full_share_interval)
     return;
   last_full_share_[share.sender] = now;
-  host_.send_to_member(static_cast<std::uint32_t>(share.sender),
-                       full_directory());
+  host_.share_directory(static_cast<std::uint32_t>(share.sender));
 }
 
-auto control_gateway::full_directory() -> wire::directory_share {
+auto control_gateway::make_share(const share_content& content) const
+    -> wire::directory_share {
   wire::directory_share share;
-  for (const auto& [id, record] : host_.directory().records())
-    share.records.push_back(record);
+  const auto& records = host_.directory().records();
+  for (const auto& id : content.records) {
+    const auto found = records.find(id);
+    if (found != records.end()) share.records.push_back(found->second);
+  }
+  const auto now = boottime_clock::now();
+  for (const auto& id : content.heard) {
+    const auto report = last_report_.find(id);
+    if (report == last_report_.end()) continue;
+    wire::heard_endpoint heard;
+    heard.id = id;
+    heard.age_ms = static_cast<std::int32_t>(age_ms(now - report->second));
+    share.heard.push_back(std::move(heard));
+  }
+  if (content.digest)
+    share.digest = static_cast<std::int64_t>(host_.directory().digest());
   return share;
 }
 
 auto control_gateway::broadcast_directory() -> void {
-  if (host_.directory().size() > 0) host_.broadcast(full_directory());
+  host_.share_directory(std::nullopt);
 }
 
 auto control_gateway::tick(instant now) -> void {
@@ -256,15 +276,7 @@
   if (changed) host_.on_directory_changed();
   if (now - last_share_ < share_interval) return;
   last_share_ = now;
-  wire::directory_share share;
-  for (const auto& id : std::exchange(reported_here_, {})) {
-    wire::heard_endpoint heard;
-    heard.id = id;
-    heard.age_ms = static_cast<std::int32_t>(age_ms(now - last_report_[id]));
-    share.heard.push_back(std::move(heard));
-  }
-  share.digest = static_cast<std::int64_t>(host_.directory().digest());
-  host_.broadcast(share);
+  host_.share_heard(std::exchange(reported_here_, {}));
 }
 
 auto control_gateway::config() -> std::shared_ptr<const ingress_config> {
--- a/src/control_gateway.hpp
+++ b/src/control_gateway.hpp
@@ -13,6 +13,7 @@
 #include "platform/platform.hpp"
 #include "pollenloft/control.hpp"
 #include "pollenloft/net.hpp"
+#include "share_link.hpp"
 
 namespace pollenloft {
 
@@ -20,6 +21,7 @@
 class control_host {
  public:
   using commit_handler = sigc::slot<void(bool)>;
+  using confirm_handler = sigc::slot<void(bool)>;
 
   control_host() = default;
   control_host(const control_host&) = delete;
@@ -28,8 +30,8 @@
   /// This replica leads, has applied everything committed before its term, and
   /// no other replica can lead yet.
   virtual auto is_active_leader() const -> bool = 0;
-  /// Whether the leader gets what `broadcast` sends, as far as this replica can
-  /// tell.
+  /// Whether the leader gets what `share_changes` sends, as far as this replica
+  /// can tell.
   virtual auto leader_reachable() const -> bool = 0;
   /// Host of the leader; empty if unknown.
   virtual auto leader_host() const -> std::string = 0;
@@ -39,10 +41,19 @@
   /// applied, or with false if that is not known.
   virtual auto submit_document(wire::document_command command,
                                commit_handler done) -> void = 0;
-  /// Sends to every other member of the replica set.
-  virtual auto broadcast(wire::directory_share share) -> void = 0;
-  virtual auto send_to_member(std::uint32_t member, wire::directory_share share)
+  /// Sends the records of these endpoints to every other member.
+  virtual auto share_changes(const std::set<std::string>& ids) -> void = 0;
+  /// Sends an endpoint's record to every other member. Calls `done` with true
+  /// once the leader has it or, if this replica leads, another member; with
+  /// false if that takes too long.
+  virtual auto confirm_change(const std::string& id, confirm_handler done)
       -> void = 0;
+  /// Sends the times of these endpoints' reports, and the digest, to every
+  /// other member.
+  virtual auto share_heard(const std::set<std::string>& ids) -> void = 0;
+  /// Sends the full directory, after all changes, to one member or to every
+  /// other one.
+  virtual auto share_directory(std::optional<std::uint32_t> member) -> void = 0;
   /// Called after the directory has changed, so that waiting entry VMs get the
   /// changes.
   virtual auto on_directory_changed() -> void = 0;
@@ -71,6 +82,8 @@
   auto broadcast_directory() -> void;
   /// Sends changed records to the other control VMs and the entry VMs.
   auto publish(const std::set<std::string>& ids) -> void;
+  /// The records and ages that a share to another member carries now.
+  auto make_share(const share_content& content) const -> wire::directory_share;
   /// The document in force, decoded; null before the first one.
   auto config() -> std::shared_ptr<const ingress_config>;
 
@@ -84,7 +97,10 @@
   /// Merges a report; returns whether the directory changed.
   auto merge(const wire::endpoint_record& record) -> bool;
   auto take_over_address(const wire::endpoint_record& record) -> bool;
-  auto full_directory() -> wire::directory_share;
+  /// Acknowledges a call about an endpoint that stops serving once the change
+  /// cannot be lost with this process.
+  auto acknowledge_shared(const exchange_ptr& call, const std::string& id)
+      -> void;
 
   control_host& host_;
   socket_address listen_;
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -18,6 +18,7 @@
 #include "pollenloft/settings.hpp"
 #include "pollenloft/telemetry.hpp"
 #include "reply_pacer.hpp"
+#include "share_link.hpp"
 #include "state_fetcher.hpp"
 
 namespace pollenloft {
@@ -28,6 +29,12 @@
 constexpr auto tick_interval = milliseconds(20);
 constexpr auto peer_timeout = milliseconds(400);
 constexpr auto hand_over_time = peer_timeout / 2;
+/// Bound for the confirmation of a change. An endpoint calls another control VM
+/// after 1 s without an answer.
+constexpr auto confirm_timeout = milliseconds(600);
+/// Time for shares and transfers to be acknowledged at a stop, after the
+/// leadership was handed over.
+constexpr auto stop_share_timeout = std::chrono::seconds(1);
 /// Time for the last replies to leave at a stop.
 constexpr auto stop_timeout = std::chrono::seconds(4);
 constexpr auto orphan_grace_period = std::chrono::seconds(3);
@@ -155,12 +162,13 @@
     log_event(log_level::info, "stopping",
               {{"role", role_name()},
                {"open_responses", loop_.unfinished().open},
+               {"unacknowledged_changes", unacknowledged_changes()},
                {"queued_replies", pacer_.queued()}});
     replica_.transfer_leadership(boottime_clock::now());
     flush();
     stop_timer_ = loop_.after(hand_over_time, [this] {
       answer_pending();
-      loop_.finish(stop_timeout);
+      finish();
     });
   }
 
@@ -195,14 +203,37 @@
     submit(command,
            [done = std::move(done)](const auto& reply) { done(!!reply); });
   }
-  auto broadcast(wire::directory_share share) -> void override {
-    for (auto id : replica_.members())
-      if (id != id_) send_to_member(id, share);
+  auto share_changes(const std::set<std::string>& ids) -> void override {
+    for (const auto member : other_members())
+      for (const auto& id : ids)
+        share_links_[member].add_change(id);
+    share_task_.schedule();
   }
-  auto send_to_member(std::uint32_t member, wire::directory_share share)
+  auto confirm_change(const std::string& id, confirm_handler done)
       -> void override {
-    share.sender = static_cast<std::int32_t>(id_);
-    post_to(member, "/peer/directory", encode_wire(share));
+    confirmation added{
+        id, {}, std::move(done), boottime_clock::now() + confirm_timeout};
+    for (const auto member : other_members())
+      if (const auto number = share_links_[member].add_change(id))
+        added.numbers[member] = *number;
+    confirmations_.push_back(std::move(added));
+    share_task_.schedule();
+  }
+  auto share_heard(const std::set<std::string>& ids) -> void override {
+    for (const auto member : other_members()) {
+      auto& link = share_links_[member];
+      for (const auto& id : ids)
+        link.add_heard(id);
+      link.add_digest();
+    }
+    share_task_.schedule();
+  }
+  auto share_directory(std::optional<std::uint32_t> member) -> void override {
+    for (const auto other : other_members())
+      if (!member || *member == other)
+        for (const auto& [id, record] : directory_.records())
+          share_links_[other].add_unchanged(id);
+    share_task_.schedule();
   }
   auto on_directory_changed() -> void override { reply_task_.schedule(); }
 
@@ -226,6 +257,12 @@
     wire::state_request request;
     instant due;
   };
+  struct confirmation {
+    std::string endpoint;
+    std::map<replica_id, std::int64_t> numbers;  // of the change, by member
+    confirm_handler done;
+    instant due;
+  };
   struct pending_patch {
     exchange_ptr call;
     std::uint64_t version;
@@ -339,6 +376,121 @@
       send_part(id);
   }
 
+  // --- endpoint directory ------------------------------------------------
+
+  auto other_members() const -> std::vector<replica_id> {
+    auto others = replica_.members();
+    others.erase(std::remove(others.begin(), others.end(), id_), others.end());
+    return others;
+  }
+
+  auto send_shares() -> void {
+    for (auto& [id, link] : share_links_)
+      send_share(id, link);
+    answer_confirmations();
+  }
+
+  auto send_share(replica_id id, share_link& link) -> void {
+    const auto address = peer_address(id);
+    if (!address || !gateway_) return;
+    const auto content = link.next(boottime_clock::now());
+    if (!content) return;
+    auto share = gateway_->make_share(*content);
+    share.sender = static_cast<std::int32_t>(id_);
+    const auto body = encode_wire(share);
+    control_bytes_ += body.size();
+    ++shares_sent_;
+    client_.send(
+        http_call{
+            *address, "POST", "/peer/directory", {}, body, peer_timeout, true},
+        {{}, {}, [this, id](const auto& result, auto) {
+           on_share_sent(id, result);
+         }});
+  }
+
+  auto on_share_sent(replica_id id, const call_result& result) -> void {
+    const auto* completed = std::get_if<call_completed>(&result);
+    auto& link = share_links_.at(id);
+    if (completed != nullptr && completed->status == 200) {
+      link.on_acknowledged();
+    } else {
+      link.on_failure(boottime_clock::now());
+      if (link.failures() == 1)
+        log_event(log_level::info, "share.failed",
+                  {{"peer", ipv4_text(id)},
+                   {"unacknowledged_changes", link.unacknowledged()}});
+    }
+    share_task_.schedule();
+  }
+
+  /// Replies to confirmations that are complete or overdue.
+  auto answer_confirmations() -> void {
+    const auto now = boottime_clock::now();
+    std::vector<confirmation> remaining;
+    for (auto& waiting : std::exchange(confirmations_, {})) {
+      const auto confirmed = is_confirmed(waiting);
+      if (confirmed || now >= waiting.due)
+        waiting.done(confirmed);
+      else
+        remaining.push_back(std::move(waiting));
+    }
+    confirmations_.insert(confirmations_.end(),
+                          std::make_move_iterator(remaining.begin()),
+                          std::make_move_iterator(remaining.end()));
+  }
+
+  /// A leader needs another member, since it may stop as soon as the endpoint
+  /// has its answer.
+  auto is_confirmed(const confirmation& waiting) const -> bool {
+    if (!leader_reachable()) return false;
+    const auto others = other_members();
+    const auto has = [&](replica_id member) {
+      return has_change(member, waiting);
+    };
+    if (replica_.role() != replica_role::leader) return has(replica_.leader());
+    return others.empty() || std::any_of(others.begin(), others.end(), has);
+  }
+
+  auto has_change(replica_id member, const confirmation& waiting) const
+      -> bool {
+    const auto number = waiting.numbers.find(member);
+    const auto link = share_links_.find(member);
+    return number != waiting.numbers.end() && link != share_links_.end() &&
+           link->second.is_delivered(waiting.endpoint, number->second);
+  }
+
+  auto drop_links_of_removed_members() -> void {
+    for (auto link = share_links_.begin(); link != share_links_.end();)
+      if (replica_.is_member(link->first) || link->second.in_flight())
+        ++link;
+      else
+        link = share_links_.erase(link);
+  }
+
+  auto unacknowledged_changes() const -> std::size_t {
+    std::size_t count = 0;
+    for (const auto& [id, link] : share_links_)
+      count += link.unacknowledged();
+    return count;
+  }
+
+  auto has_unacknowledged() const -> bool {
+    return unacknowledged_changes() > 0 ||
+           std::any_of(part_senders_.begin(), part_senders_.end(),
+                       [](const auto& sender) {
+                         return sender.second.buffered_bytes() > 0;
+                       });
+  }
+
+  /// Ends the loop once responses have left and the other members have what was
+  /// sent to them.
+  auto finish() -> void {
+    const auto due = boottime_clock::now() + stop_share_timeout;
+    loop_.finish(stop_timeout, [this, due] {
+      return boottime_clock::now() < due && has_unacknowledged();
+    });
+  }
+
   // --- replication -------------------------------------------------------
 
   auto tick() -> void {
@@ -352,6 +504,8 @@
     if (gateway_) {
       gateway_->tick(now);
       directory_store_.tick(now, wall_clock());
+      drop_links_of_removed_members();
+      share_task_.schedule();
     }
     request_membership(now);
     publish_suspects(now);
@@ -466,7 +620,9 @@
     log_failure("disk.failed", last_error());
     failed_ = true;
     answer_pending();
-    loop_.finish(stop_timeout);
+    for (auto& confirmation : std::exchange(confirmations_, {}))
+      confirmation.done(false);
+    finish();
   }
 
   auto propose_commands() -> void {
@@ -1137,11 +1293,29 @@
                  static_cast<double>(replica_.last_index()));
     metrics_.set("pollenloft_control_bytes_total",
                  static_cast<double>(control_bytes_));
+    show_share_metrics();
     metrics_.set("pollenloft_endpoints",
                  static_cast<double>(directory_.size()));
     call->reply(200, {}, metrics_.text());
   }
 
+  auto show_share_metrics() -> void {
+    std::uint64_t coalesced = 0;
+    std::uint64_t retries = 0;
+    for (const auto& [id, link] : share_links_) {
+      coalesced += link.coalesced();
+      retries += link.retries();
+    }
+    metrics_.set("pollenloft_directory_shares_total",
+                 static_cast<double>(shares_sent_));
+    metrics_.set("pollenloft_directory_changes_coalesced_total",
+                 static_cast<double>(coalesced));
+    metrics_.set("pollenloft_directory_share_retries_total",
+                 static_cast<double>(retries));
+    metrics_.set("pollenloft_directory_changes_unacknowledged",
+                 static_cast<double>(unacknowledged_changes()));
+  }
+
   event_loop& loop_;
   http_client client_;
   http_server server_;
@@ -1175,6 +1349,7 @@
   log_term known_term_ = 0;
   posted_task flush_task_{loop_, [this] { flush(); }};
   posted_task reply_task_{loop_, [this] { reply_to_pending(); }};
+  posted_task share_task_{loop_, [this] { send_shares(); }};
   bool failed_ = false;
   bool stopping_ = false;
   bool serving_ended_ = false;  // pending requests have been answered
@@ -1185,6 +1360,9 @@
   std::set<std::string> holders_in_abandonment_;
   std::map<replica_id, std::size_t> in_flight_;
   std::map<replica_id, part_sender> part_senders_;
+  std::map<replica_id, share_link> share_links_;
+  std::vector<confirmation> confirmations_;
+  std::uint64_t shares_sent_ = 0;
   part_assembler part_assembler_;
   std::uint64_t snapshot_bytes_ = 0;
   std::uint64_t renewals_ = 0;
--- a/test/control_gateway_test.cpp
+++ b/test/control_gateway_test.cpp
@@ -29,12 +29,19 @@
     if (commits) state_.apply(encode_wire(command));
     done(commits);
   }
-  auto broadcast(wire::directory_share share) -> void override {
-    broadcasts.push_back(std::move(share));
+  auto share_changes(const std::set<std::string>& ids) -> void override {
+    shared_changes.push_back(ids);
   }
-  auto send_to_member(std::uint32_t member, wire::directory_share share)
+  auto confirm_change(const std::string& id, confirm_handler done)
       -> void override {
-    sent[member] = std::move(share);
+    to_confirm.push_back(id);
+    done(confirms);
+  }
+  auto share_heard(const std::set<std::string>& ids) -> void override {
+    heard.push_back(ids);
+  }
+  auto share_directory(std::optional<std::uint32_t> member) -> void override {
+    directories.push_back(member);
   }
   auto on_directory_changed() -> void override { ++changes; }
 
@@ -43,8 +50,11 @@
   bool commits = true;
   std::string leader;
   wire::document_command last_submitted;
-  std::vector<wire::directory_share> broadcasts;
-  std::map<std::uint32_t, wire::directory_share> sent;
+  bool confirms = true;
+  std::vector<std::set<std::string>> shared_changes;
+  std::vector<std::string> to_confirm;
+  std::vector<std::set<std::string>> heard;
+  std::vector<std::optional<std::uint32_t>> directories;  // by receiver
   int changes = 0;
 
  private:
@@ -87,6 +97,9 @@
   CPPUNIT_TEST(follower_redirects_to_the_leader);
   CPPUNIT_TEST(reads_are_refused_without_a_leader);
   CPPUNIT_TEST(report_is_shared_when_it_changes_something);
+  CPPUNIT_TEST(leave_is_acknowledged_before_another_replica_has_it);
+  CPPUNIT_TEST(drain_is_acknowledged_before_another_replica_has_it);
+  CPPUNIT_TEST(share_carries_outdated_records);
   CPPUNIT_TEST(late_report_does_not_undo_leaving);
   CPPUNIT_TEST(report_is_refused_while_the_leader_is_unreachable);
   CPPUNIT_TEST(address_belongs_to_the_latest_start);
@@ -203,15 +216,50 @@
 
   auto report_is_shared_when_it_changes_something() -> void {
     CPPUNIT_ASSERT_EQUAL(200, send("PUT", "/instances/a", report(1)));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host_->broadcasts.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host_->shared_changes.size());
     CPPUNIT_ASSERT_EQUAL(200, send("PUT", "/instances/a", report(2)));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host_->broadcasts.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host_->shared_changes.size());
     send("PUT", "/instances/a", report(3, "draining"));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, host_->broadcasts.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, host_->shared_changes.size());
     CPPUNIT_ASSERT_EQUAL(400, send("PUT", "/instances/b", "{}"));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host_->directory().size());
   }
 
+  auto leave_is_acknowledged_before_another_replica_has_it() -> void {
+    send("PUT", "/instances/a", report(1));
+    CPPUNIT_ASSERT(host_->to_confirm.empty());
+    host_->confirms = false;
+    CPPUNIT_ASSERT_EQUAL(503, send("DELETE", "/instances/a"));
+    CPPUNIT_ASSERT_EQUAL(503, send("DELETE", "/instances/a"));  // repeated
+    host_->confirms = true;
+    CPPUNIT_ASSERT_EQUAL(200, send("DELETE", "/instances/a"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, host_->to_confirm.size());
+  }
+
+  auto drain_is_acknowledged_before_another_replica_has_it() -> void {
+    host_->confirms = false;
+    CPPUNIT_ASSERT_EQUAL(200, send("PUT", "/instances/a", report(1)));
+    CPPUNIT_ASSERT_EQUAL(200, send("PUT", "/instances/a", report(2)));
+    for (const auto sequence : {3, 4})
+      CPPUNIT_ASSERT_EQUAL(
+          503, send("PUT", "/instances/a", report(sequence, "draining")));
+    host_->confirms = true;
+    CPPUNIT_ASSERT_EQUAL(200,
+                         send("PUT", "/instances/a", report(5, "draining")));
+  }
+
+  auto share_carries_outdated_records() -> void {
+    send("PUT", "/instances/a", report(1));
+    send("DELETE", "/instances/a");
+    const auto share = gateway_->make_share({{"a", "unknown"}, {"a"}, true});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, share.records.size());
+    CPPUNIT_ASSERT(share.records[0] == record("a"));
+    CPPUNIT_ASSERT(state_of("a") == endpoint_state::gone);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), share.heard.at(0).id);
+    CPPUNIT_ASSERT_EQUAL(static_cast<std::int64_t>(host_->directory().digest()),
+                         share.digest);
+  }
+
   auto late_report_does_not_undo_leaving() -> void {
     send("PUT", "/instances/a", report(4));
     send("PUT", "/instances/a", report(5, "draining"));
@@ -274,13 +322,13 @@
     share.sender = 7;
     share.digest = static_cast<std::int64_t>(host_->directory().digest());
     gateway_->handle_directory_share(share);
-    CPPUNIT_ASSERT(host_->sent.empty());
+    CPPUNIT_ASSERT(host_->directories.empty());
     share.digest += 1;
     gateway_->handle_directory_share(share);
-    CPPUNIT_ASSERT_EQUAL(std::string("a"), host_->sent.at(7).records.at(0).id);
-    host_->sent.clear();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host_->directories.size());
+    CPPUNIT_ASSERT(host_->directories[0] == 7U);
     gateway_->handle_directory_share(share);  // within the full-share interval
-    CPPUNIT_ASSERT(host_->sent.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host_->directories.size());
   }
 
   auto reports_do_not_override_the_leaders_records() -> void {
