Save the endpoint directory when a control VM stops

Seen: after a stop of all control VMs at once, endpoints whose leave had been acknowledged in the second before were `up` again at the start.

Cause: work counted as done before it had left the process. The directory is saved at intervals of at least 1 s, and the stop did not save what had changed since.

Change: changes since the last save are saved after the loop has ended, unless the disk has failed.

Test: `directory_store_test` change_before_the_end_of_the_process_is_not_saved; the function that it calls is new, so it could not run before.

--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -172,6 +172,11 @@
     });
   }
 
+  /// Called once the loop has ended.
+  auto save_directory() -> void {
+    if (gateway_ && !failed_) directory_store_.save_changes(wall_clock());
+  }
+
   auto failed() const -> bool { return failed_; }
 
   auto set_seeds(std::vector<socket_address> seeds) -> void {
@@ -1424,6 +1429,7 @@
   const auto hangup = loop.on_signal(SIGHUP, reload);
   const auto watch = loop.every(settings_poll_interval, reload);
   loop.run();
+  server.save_directory();
   const auto responses = loop.unfinished();
   log_event(log_level::info, "stopped",
             {{"open_responses", responses.open},
--- a/src/directory_store.cpp
+++ b/src/directory_store.cpp
@@ -1,5 +1,7 @@
 #include "directory_store.hpp"
 
+#include <utility>
+
 #include "pollenloft/telemetry.hpp"
 
 namespace pollenloft {
@@ -71,6 +73,13 @@
   save(wall);
 }
 
+auto directory_store::save_changes(milliseconds wall) -> void {
+  if (directory_.sequence() == checked_sequence_) return;
+  checked_sequence_ = directory_.sequence();
+  const auto current = signature();
+  if (std::exchange(saved_signature_, current) != current) save(wall);
+}
+
 auto directory_store::save(milliseconds wall) -> void {
   wire::saved_directory saved;
   saved.at_ms = wall.count();
--- a/src/directory_store.hpp
+++ b/src/directory_store.hpp
@@ -13,6 +13,7 @@
 ///
 ///     store.restore(wall_clock());
 ///     store.tick(now, wall_clock());  // on every tick
+///     store.save_changes(wall_clock());  // at the end
 class directory_store {
  public:
   directory_store(journal& disk, endpoint_directory& directory)
@@ -26,6 +27,8 @@
   /// duration of a save. A failed save is tried again with the next change or
   /// refresh.
   auto tick(instant now, milliseconds wall) -> void;
+  /// Saves what has changed since the last save, at the end of the process.
+  auto save_changes(milliseconds wall) -> void;
 
  private:
   auto signature() const -> std::uint64_t;
--- a/test/directory_store_test.cpp
+++ b/test/directory_store_test.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(old_file_is_ignored);
   CPPUNIT_TEST(damaged_file_is_ignored);
   CPPUNIT_TEST(load_change_is_not_saved);
+  CPPUNIT_TEST(change_before_the_end_of_the_process_is_not_saved);
   CPPUNIT_TEST(restored_record_is_replaced_by_a_later_incarnation);
   CPPUNIT_TEST_SUITE_END();
 
@@ -107,6 +108,21 @@
     CPPUNIT_ASSERT(before != disk->load_auxiliary("endpoints"));
   }
 
+  auto change_before_the_end_of_the_process_is_not_saved() -> void {
+    {
+      auto disk = journal::open(folder_);
+      endpoint_directory directory;
+      directory_store store(*disk, directory);
+      directory.merge({runner("a")});
+      store.tick(now_, saved_at);
+      directory.mark_gone("a");
+      store.tick(now_ + milliseconds(20), saved_at);  // within the interval
+      store.save_changes(saved_at);
+    }
+    CPPUNIT_ASSERT_EQUAL(static_cast<std::int8_t>(endpoint_state::gone),
+                         restored().records().at("a").state);
+  }
+
   auto restored_record_is_replaced_by_a_later_incarnation() -> void {
     endpoint_directory directory;
     directory.merge({runner("a")});
