Hold back requests with a part of a prompt that crashes endpoints

Cause: a crash was recorded against whole requests only (client account, target, body), so no request ever met its own record. Class: a record by an identity that the harmful thing does not have.

Parts are features of a request beside its fingerprint, in the same records (crash_ledger, crash_inbox, crash_guard). A crash charges the parts of those requests that had not sent three events yet. A part is held after three crash moments (250 ms apart, since endpoints lost together have one cause), five if endpoints survived it before its first crash. Any survival since the first crash takes the record back; VMs remember survivals and object when the leader lists a part. Crashes that a worse suspect explains don't count. After 5 s, and three times as long with each further crash, the leader lets one VM at a time admit one request as a trial. Reports of one turn of the loop are one call. A full inbox drops the oldest reports of the account that has most, instead of refusing new ones.

--- a/include/pollenloft/poison.hpp
+++ b/include/pollenloft/poison.hpp
@@ -48,6 +48,35 @@
 /// Entry VMs receive the records that have at least these points.
 constexpr int suspect_threshold = 8;
 
+/// A part of prompts whose requests crash endpoints before their first events
+/// is charged once for all crashes within this time: endpoints that are lost
+/// together are lost by one cause.
+constexpr auto part_crash_gap = milliseconds(250);
+/// Threshold of a part that endpoints survived before its first crash.
+constexpr int trusted_part_threshold =
+    poison_threshold + 2 * inferred_points_before_first_event;
+/// A run has survived a part once it has sent this many events.
+constexpr std::size_t survival_events = 3;
+
+/// What may make a request crash endpoints: all of it, or a part of its prompt.
+struct crash_features {
+  std::uint64_t fingerprint = 0;
+  std::vector<std::uint64_t> parts{};  ///< shared with other requests
+};
+
+/// Points from which on requests are held back.
+auto hold_threshold(const wire::blame_record& record) -> int;
+/// Time from the last crash of a part until a trial.
+auto part_hold_time(int points, int threshold) -> duration;
+/// Lets one VM at a time admit a request with each part whose hold time is
+/// over, another one every few seconds. `vms` are those with a lease.
+auto nominate_trials(std::vector<wire::blame_record>& suspects,
+                     const std::vector<std::string>& vms, milliseconds now)
+    -> void;
+/// Hash over what entry VMs learn of suspects; 0 if there are none.
+auto suspects_digest(const std::vector<wire::blame_record>& suspects)
+    -> std::int64_t;
+
 /// Limits on the recorded crashes. All control replicas must use the same
 /// values, or their states diverge.
 struct crash_limits {
@@ -56,7 +85,7 @@
   /// Beyond this, the oldest of the records with the fewest points is evicted.
   std::size_t max_records = 4096;
   std::size_t max_endpoints = 8;  ///< the latest ones of each record
-  std::size_t max_suspects = 32;  ///< sent to entry VMs
+  std::size_t max_suspects = 64;  ///< sent to entry VMs
 };
 
 /// The crashes recorded against requests, kept by the control role. It is
@@ -73,6 +102,8 @@
   auto size() const -> std::size_t { return records_.size(); }
   auto records() const -> std::vector<wire::blame_record>;
   auto load(std::vector<wire::blame_record> records) -> void;
+  /// Time of the last crash that counts; 0 if there is none.
+  auto last_crash_ms(std::uint64_t fingerprint) const -> std::int64_t;
   /// The records from `suspect_threshold` on, most points first. Requests that
   /// were on the same endpoints as a poison request with more points are not
   /// charged with these crashes.
@@ -83,6 +114,7 @@
   auto suspects_digest() const -> std::int64_t { return suspects_digest_; }
 
  private:
+  auto apply_survival(const wire::blame_command& report) -> void;
   auto evict() -> void;
   auto update_suspects() -> void;
 
@@ -94,7 +126,8 @@
 
 /// Reports that the leader holds in memory until they are worth a log entry.
 /// Most requests that are on a crashed endpoint run to the end elsewhere, so a
-/// single crash is not committed: a new leader may forget it.
+/// single crash is not committed: a new leader may forget it. Beyond the limit
+/// a report displaces the oldest ones of the account that has most.
 class crash_inbox {
  public:
   explicit crash_inbox(crash_limits limits = {}) : limits_(limits) {}
@@ -108,6 +141,7 @@
 
  private:
   auto expire(milliseconds now) -> void;
+  auto evict() -> void;
 
   crash_limits limits_;
   std::map<std::int64_t, std::vector<wire::blame_command>> held_;
@@ -122,48 +156,82 @@
 class crash_guard {
  public:
   /// `vm` spreads the trials of the VMs over time.
-  explicit crash_guard(std::uint64_t vm) : vm_(vm) {}
+  explicit crash_guard(std::string vm = {})
+      : vm_name_(std::move(vm)), vm_(hash64(vm_name_)) {}
 
-  /// Replaces what the leader has recorded; `age_ms` of each record counts back
-  /// from `now`.
+  /// Replaces what the leader has recorded; the ages of each record count back
+  /// from `now`. Returns the survivals on this VM that the leader lacks.
   auto update(const std::vector<wire::blame_record>& suspects, instant now)
-      -> void;
+      -> std::vector<wire::blame_command>;
   /// Records a crash of `endpoint` under the request; false if it was recorded
   /// before.
   auto record_crash(std::uint64_t fingerprint, const std::string& endpoint,
                     int points, instant now) -> bool;
+  /// The same for a part of the request's prompt.
+  auto record_part_crash(std::uint64_t part, const std::string& endpoint,
+                         instant now) -> bool;
   /// Drops what is recorded against a request that an endpoint ran to the end;
   /// false if there was nothing.
   auto record_survival(std::uint64_t fingerprint) -> bool;
+  /// The same for a part; it is trusted more from here on.
+  auto record_part_survival(std::uint64_t part, instant now) -> bool;
   /// Time until an arriving request may run; zero admits it.
-  auto admit(std::uint64_t fingerprint, instant now) -> duration;
+  auto admit(const crash_features& features, instant now) -> duration;
   /// Whether a request that was admitted at `admitted` must not run because of
-  /// a later crash.
-  auto stopped_since(std::uint64_t fingerprint, instant admitted) const -> bool;
+  /// what became known later.
+  auto stopped_since(const crash_features& features, instant admitted) const
+      -> bool;
   /// Time until the request may run again, without admitting it.
-  auto held_for(std::uint64_t fingerprint, instant now) const -> duration;
+  auto held_for(const crash_features& features, instant now) const -> duration;
   auto points(std::uint64_t fingerprint) const -> int;
   auto size() const -> std::size_t { return suspects_.size(); }
 
  private:
   struct suspect {
+    bool is_part = false;
+    bool trusted = false;  // endpoints survived the part before
     int leader_points = 0;
     std::set<std::string> leader_endpoints;
     std::map<std::string, int> local_crashes;  // points, by endpoint
     instant last_crash{};
+    instant held_since{};  // unset below the threshold
     instant trial_until{};
+    std::int64_t trial = 0;        // nomination of this VM
+    std::int64_t trials_used = 0;  // the last nomination that was used
 
     /// A crash that the leader has recorded counts once.
     auto points() const -> int;
+    auto threshold() const -> int {
+      return trusted ? trusted_part_threshold : poison_threshold;
+    }
+    auto held() const -> bool { return points() >= threshold(); }
+  };
+
+  /// Remembers which parts endpoints survived, and when. It keeps between half
+  /// of and all of its capacity, without those that are older.
+  class survival_memory {
+   public:
+    auto add(std::uint64_t part, instant now) -> void;
+    auto find(std::uint64_t part) const -> std::optional<instant>;
+
+   private:
+    std::unordered_map<std::uint64_t, instant> recent_;
+    std::unordered_map<std::uint64_t, instant> older_;
   };
 
   auto find(std::uint64_t fingerprint) const -> const suspect*;
+  auto insert(std::uint64_t fingerprint, instant now) -> suspect*;
   auto trial_at(std::uint64_t fingerprint, const suspect& record) const
       -> instant;
+  auto request_held_for(std::uint64_t fingerprint, instant now) const
+      -> duration;
+  auto part_held_for(std::uint64_t part, instant now) const -> duration;
   auto expire(instant now) -> void;
 
+  std::string vm_name_;
   std::uint64_t vm_;
   std::unordered_map<std::uint64_t, suspect> suspects_;
+  survival_memory survivals_;
 };
 
 }  // namespace pollenloft
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -89,8 +89,10 @@
 
 auto caller_request::stop_if_poison() -> bool {
   auto& guard = host_.crashes().guard();
-  if (!guard.stopped_since(params_.fingerprint, params_.arrived)) return false;
-  const auto wait = guard.held_for(params_.fingerprint, boottime_clock::now());
+  if (!guard.stopped_since({params_.fingerprint}, params_.arrived))
+    return false;
+  const auto wait =
+      guard.held_for({params_.fingerprint}, boottime_clock::now());
   refuse("this request crashed endpoints and is not run again",
          std::max(to_ms(wait), retry_after_));
   return true;
--- a/src/cli.cpp
+++ b/src/cli.cpp
@@ -177,7 +177,7 @@
     if (verb == "services") return print_services();
     if (verb == "crashes" && arguments.size() == 1)
       return print_list("/v1/crashes", {"fingerprint", "account", "points",
-                                        "held_back", "endpoints"});
+                                        "kind", "held_back", "endpoints"});
     if (verb == "crashes" && arguments.size() == 3 && arguments[1] == "clear")
       return print_response(client_.call(
           "POST", "/v1/crashes/clear",
--- a/src/control_client.cpp
+++ b/src/control_client.cpp
@@ -40,7 +40,8 @@
                         hash64(options_.vm)),
       config_fetcher_(loop, client, state_kind::configuration,
                       hash64(options_.vm)),
-      crash_guard_(hash64(options_.vm)) {
+      crash_guard_(options_.vm),
+      crash_report_task_(loop, [this] { send_crash_reports(); }) {
   const auto replicas = [this]() -> const std::vector<socket_address>& {
     return options_.replicas;
   };
@@ -174,7 +175,9 @@
 auto control_client::apply_suspects(const wire::renew_reply& reply) -> void {
   if (reply.suspects_digest == suspects_digest_ && reply.blames.empty()) return;
   suspects_digest_ = reply.suspects_digest;
-  crash_guard_.update(reply.blames, boottime_clock::now());
+  for (const auto& survival :
+       crash_guard_.update(reply.blames, boottime_clock::now()))
+    report_crash(survival);
 }
 
 auto control_client::add_replicas(const std::vector<socket_address>& replicas)
@@ -392,8 +395,15 @@
 }
 
 auto control_client::report_crash(const wire::blame_command& report) -> void {
-  ++pending_reports_;
-  call_leader("/control/blame", encode_wire(report),
+  if (crash_reports_.empty()) ++pending_reports_;
+  crash_reports_.push_back(report);
+  crash_report_task_.schedule();
+}
+
+auto control_client::send_crash_reports() -> void {
+  wire::blame_batch batch;
+  batch.reports = std::exchange(crash_reports_, {});
+  call_leader("/control/blames", encode_wire(batch),
               boottime_clock::now() + settle_timeout, parse_settle_reply,
               [this](const auto& /*body*/) { --pending_reports_; });
 }
--- a/src/control_client.hpp
+++ b/src/control_client.hpp
@@ -91,6 +91,7 @@
   /// Records the outcome of a claimed request.
   auto settle(const wire::settle_command& command) -> void;
   /// Records a crash under a request, or a run that its endpoint survived.
+  /// Reports of one turn of the loop are sent together.
   auto report_crash(const wire::blame_command& report) -> void;
   /// Number of settlements that the leader has not acknowledged yet.
   auto pending_settlements() const -> std::size_t {
@@ -127,6 +128,7 @@
   /// Sets when the document held was last known to be the newest.
   auto confirm_document() -> void;
   auto apply_suspects(const wire::renew_reply& reply) -> void;
+  auto send_crash_reports() -> void;
   auto add_reported_replicas(const wire::renew_reply& reply) -> void;
   auto select_leader(const std::string& leader) -> void;
   auto select_next_replica() -> void;
@@ -160,8 +162,10 @@
   std::size_t vm_count_ = 1;
   std::size_t pending_settlements_ = 0;
   std::size_t pending_reports_ = 0;
+  std::vector<wire::blame_command> crash_reports_;
   std::map<std::string, wire::account_usage> usage_;
   crash_guard crash_guard_;
+  posted_task crash_report_task_;
   std::int64_t suspects_digest_ = 0;  // of the records last received
   renewal_counters renewals_;
   usage_source usage_source_;
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -803,6 +803,7 @@
     if (post && path == "/control/report") return handle_report(call);
     if (post && path == "/control/claim") return handle_claim(call);
     if (post && path == "/control/settle") return handle_settle(call);
+    if (post && path == "/control/blames") return handle_crash_reports(call);
     if (post && path == "/control/blame") return handle_crash_report(call);
     if (path == "/healthz") return call->reply(200, {}, "ok\n");
     if (path == "/metrics") return show_metrics(call);
@@ -901,11 +902,18 @@
 
   /// Many crashes at once are sent to the VMs together.
   auto publish_suspects(instant now) -> void {
-    if (now < suspects_published_at_ + suspects_publish_interval ||
-        suspects_digest_ == state_.crashes().suspects_digest())
-      return;
-    suspects_ = state_.crashes().suspects();
-    suspects_digest_ = state_.crashes().suspects_digest();
+    if (now < suspects_published_at_ + suspects_publish_interval) return;
+    auto suspects = state_.crashes().suspects();
+    if (is_active_leader()) {
+      std::vector<std::string> vms;
+      for (const auto& [vm, holder] : leases_.holders())
+        vms.push_back(vm);
+      nominate_trials(suspects, vms, wall_clock());
+    }
+    const auto digest = suspects_digest(suspects);
+    if (digest == suspects_digest_) return;
+    suspects_ = std::move(suspects);
+    suspects_digest_ = digest;
     suspects_published_at_ = now;
     reply_task_.schedule();
   }
@@ -1042,8 +1050,11 @@
       return;
     reply.blames = suspects_;
     const auto now_ms = wall_clock().count();
-    for (auto& record : reply.blames)
+    for (auto& record : reply.blames) {
       record.age_ms = std::max<std::int64_t>(0, now_ms - record.at_ms);
+      record.first_age_ms =
+          std::max<std::int64_t>(0, now_ms - record.first_at_ms);
+    }
   }
 
   /// Adds the next changed records of the directory. A VM that needs more of
@@ -1107,20 +1118,27 @@
     commit_and_acknowledge(call, command);
   }
 
+  /// A single report, as VMs of earlier versions send it.
   auto handle_crash_report(const exchange_ptr& call) -> void {
-    auto report = decode_body<wire::blame_command>(call);
-    if (!report) return;
-    report->at_ms = wall_clock().count();
+    if (auto report = decode_body<wire::blame_command>(call))
+      take_crash_reports(call, {std::move(*report)});
+  }
+
+  auto handle_crash_reports(const exchange_ptr& call) -> void {
+    if (auto batch = decode_body<wire::blame_batch>(call))
+      take_crash_reports(call, std::move(batch->reports));
+  }
+
+  auto take_crash_reports(const exchange_ptr& call,
+                          std::vector<wire::blame_command> reports) -> void {
     if (!is_active_leader()) return wire_reply(call, settlement(false));
-    const auto due = crash_inbox_.add(*report, state_.crashes());
-    log_event(
-        log_level::info, "crash.received",
-        {{"fingerprint",
-          fingerprint_text(static_cast<std::uint64_t>(report->fingerprint))},
-         {"endpoint", report->endpoint},
-         {"points", report->points},
-         {"survived", report->survived ? 1 : 0},
-         {"committing", due.size()}});
+    std::vector<wire::blame_command> due;
+    for (auto& report : reports) {
+      report.at_ms = wall_clock().count();
+      const auto added = crash_inbox_.add(report, state_.crashes());
+      log_crash_report(report, added.size());
+      due.insert(due.end(), added.begin(), added.end());
+    }
     if (due.empty()) return wire_reply(call, settlement(true));
     for (std::size_t i = 0; i < due.size(); ++i) {
       wire::command command;
@@ -1133,6 +1151,20 @@
     }
   }
 
+  static auto log_crash_report(const wire::blame_command& report,
+                               std::size_t committing) -> void {
+    log_event(
+        log_level::info, "crash.received",
+        {{"fingerprint",
+          fingerprint_text(static_cast<std::uint64_t>(report.fingerprint))},
+         {"part", report.part ? 1 : 0},
+         {"endpoint", report.endpoint},
+         {"points", report.points},
+         {"survived", report.survived ? 1 : 0},
+         {"survived_ago_ms", report.survived_ago_ms},
+         {"committing", committing}});
+  }
+
   /// An operator lets a request run again that crashed endpoints.
   auto handle_clear(const exchange_ptr& call) -> void {
     const auto body = json::parse(call->request().body, nullptr, false);
--- a/src/crash_monitor.cpp
+++ b/src/crash_monitor.cpp
@@ -59,6 +59,8 @@
   if (*charged || first_seen_crashed(endpoint) < since) return;
   *charged = true;
   record_crash(request, endpoint);
+  for (const auto part : request.parts)
+    record_part_crash(request, part, endpoint);
 }
 
 auto crash_monitor::first_seen_crashed(const endpoint_view& endpoint)
@@ -94,6 +96,42 @@
   report_(report);
 }
 
+auto crash_monitor::record_part_crash(const interrupted_request& request,
+                                      std::uint64_t part,
+                                      const endpoint_view& endpoint) -> void {
+  if (disabled_) return;
+  const auto name = incarnation_name(endpoint);
+  if (!guard_.record_part_crash(part, name, boottime_clock::now())) return;
+  log_event(log_level::info, "part.reported",
+            {{"id", request.id},
+             {"part", fingerprint_text(part)},
+             {"account", request.account},
+             {"endpoint", name},
+             {"known_points", guard_.points(part)}});
+  wire::blame_command report;
+  report.fingerprint = static_cast<std::int64_t>(part);
+  report.part = true;
+  report.endpoint = name;
+  report.account = request.account;
+  report.points = inferred_points_before_first_event;
+  report_(report);
+}
+
+auto crash_monitor::record_part_survivals(
+    const std::vector<std::uint64_t>& parts) -> void {
+  for (const auto part : parts) {
+    const auto points = guard_.points(part);
+    if (!guard_.record_part_survival(part, boottime_clock::now())) continue;
+    log_event(log_level::info, "part.absolved",
+              {{"part", fingerprint_text(part)}, {"points", points}});
+    wire::blame_command report;
+    report.fingerprint = static_cast<std::int64_t>(part);
+    report.part = true;
+    report.survived = true;
+    report_(report);
+  }
+}
+
 auto crash_monitor::record_survival(std::uint64_t fingerprint) -> void {
   const auto points = guard_.points(fingerprint);
   if (!guard_.record_survival(fingerprint)) return;
--- a/src/crash_monitor.hpp
+++ b/src/crash_monitor.hpp
@@ -29,6 +29,8 @@
   std::uint64_t fingerprint = 0;
   int points = 0;  ///< for a crash
   exposure on_endpoints{};
+  /// Parts of its prompt that no endpoint has survived in this dispatch.
+  std::vector<std::uint64_t> parts{};
 };
 
 class crash_monitor {
@@ -58,10 +60,14 @@
                     const endpoint_view& endpoint) -> void;
   /// Records that an endpoint ran the request to the end.
   auto record_survival(std::uint64_t fingerprint) -> void;
+  /// Records that an endpoint runs requests with these parts of their prompts.
+  auto record_part_survivals(const std::vector<std::uint64_t>& parts) -> void;
 
  private:
   auto charge(const interrupted_request& request, const endpoint_view& endpoint)
       -> void;
+  auto record_part_crash(const interrupted_request& request, std::uint64_t part,
+                         const endpoint_view& endpoint) -> void;
   /// Notes when the endpoint was first seen to have crashed, and returns that.
   auto first_seen_crashed(const endpoint_view& endpoint) -> instant;
 
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -228,7 +228,7 @@
                                  request_parameters parameters) -> void {
   if (requests_.size() >= max_open_requests)
     return refuse(call, 503, "Too many requests are open on this VM.");
-  if (crashes_.guard().admit(parameters.fingerprint, parameters.arrived) >
+  if (crashes_.guard().admit({parameters.fingerprint}, parameters.arrived) >
       duration::zero())
     return refuse(call, 422,
                   "This request has crashed endpoints and is not run again.");
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -153,6 +153,7 @@
   response_head_ = {};
   partial_event_.clear();
   attempt_first_event_ = events_forwarded_;
+  parts_survived_ = false;
   dispatched_at_ = boottime_clock::now();
   exposure_ = {dispatched_at_};
   const auto attempt = lifecycle_.attempt();
@@ -218,6 +219,8 @@
     ++events_forwarded_;
     complete_events += event;
   }
+  if (events_forwarded_ >= attempt_first_event_ + survival_events)
+    record_part_survival();
   if (!complete_events.empty()) forward(complete_events);
   if (gap && dispatch_active_)
     fail_attempt(
@@ -272,7 +275,10 @@
     return fail_attempt({"answer.event", stages_.front().endpoint->id,
                          "the last event is not whole"});
   // An endpoint that answers with an error may not have run the request.
-  if (!failed) host_.crashes().record_survival(params_.fingerprint);
+  if (!failed) {
+    host_.crashes().record_survival(params_.fingerprint);
+    record_part_survival();
+  }
   release_slots(dispatch_result::served, "");
   step(request_event::completed);
 }
@@ -357,33 +363,38 @@
                           : inferred_points_before_first_event;
   const auto attempt = lifecycle_.attempt();
   const auto dispatch_active = dispatch_active_;
-  host_.crashes().attribute({params_.headers.request_id, params_.account,
-                             params_.fingerprint, points, exposure_},
-                            stages,
-                            [self = weak_from_this(), attempt, dispatch_active,
-                             next = std::move(next)]() {
-                              auto request = self.lock();
-                              if (!request || request->ended() ||
-                                  request->lifecycle_.attempt() != attempt ||
-                                  request->dispatch_active_ != dispatch_active)
-                                return;
-                              // Slots are released as they were taken.
-                              if (!dispatch_active)
-                                request->poison_suspect_ |=
-                                    *request->exposure_.charged;
-                              next();
-                            });
+  host_.crashes().attribute(
+      {params_.headers.request_id, params_.account, params_.fingerprint, points,
+       exposure_,
+       parts_survived_ ? std::vector<std::uint64_t>{} : params_.parts},
+      stages,
+      [self = weak_from_this(), attempt, dispatch_active,
+       next = std::move(next)]() {
+        auto request = self.lock();
+        if (!request || request->ended() ||
+            request->lifecycle_.attempt() != attempt ||
+            request->dispatch_active_ != dispatch_active)
+          return;
+        // Slots are released as they were taken.
+        if (!dispatch_active)
+          request->poison_suspect_ |= *request->exposure_.charged;
+        next();
+      });
 }
 
 auto front_request::stopped_by_crashes() const -> bool {
-  return host_.crashes().guard().stopped_since(params_.fingerprint,
-                                               params_.accepted);
+  return host_.crashes().guard().stopped_since(features(), params_.accepted);
+}
+
+auto front_request::record_part_survival() -> void {
+  if (std::exchange(parts_survived_, true)) return;
+  host_.crashes().record_part_survivals(params_.parts);
 }
 
 auto front_request::stop_if_poison() -> bool {
   if (!stopped_by_crashes()) return false;
-  const auto wait = host_.crashes().guard().held_for(params_.fingerprint,
-                                                     boottime_clock::now());
+  const auto wait =
+      host_.crashes().guard().held_for(features(), boottime_clock::now());
   refuse(503, "this request crashed endpoints and is not run again",
          std::max(to_ms(wait), retry_after_));
   return true;
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -109,6 +109,11 @@
   auto attribute_crash(const chain& stages, task next) -> void;
   /// Whether crashes recorded since its admission forbid to run the request.
   auto stopped_by_crashes() const -> bool;
+  auto features() const -> crash_features {
+    return {params_.fingerprint, params_.parts};
+  }
+  /// Records once an attempt that its endpoints have survived the prompt.
+  auto record_part_survival() -> void;
   /// Applies `event` after a failed or refused attempt. A stream that its
   /// caller already reads waits first until the retry budget allows its
   /// resumption.
@@ -157,6 +162,7 @@
   std::string partial_event_;  // bytes of an incomplete event
   std::optional<std::int64_t> last_event_id_;
   std::size_t events_forwarded_ = 0;
+  bool parts_survived_ = false;          // in this attempt
   std::size_t attempt_first_event_ = 0;  // `events_forwarded_` at its start
   std::string end_reason_;
   std::optional<int> refusal_status_;
--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -236,11 +236,13 @@
 auto front_server::refuse_poison(const exchange_ptr& call,
                                  const front_parameters& params) -> bool {
   auto& guard = crashes_.guard();
-  const auto wait = guard.admit(params.fingerprint, params.accepted);
+  const auto wait =
+      guard.admit({params.fingerprint, params.parts}, params.accepted);
   if (wait == duration::zero()) return false;
   log_event(log_level::info, "request.held_back",
             {{"id", params.headers.request_id},
              {"fingerprint", fingerprint_text(params.fingerprint)},
+             {"prompt_parts", fingerprints_text(params.parts)},
              {"account", params.account},
              {"points", guard.points(params.fingerprint)}});
   metrics_.add("pollenloft_poison_refused_total");
--- a/src/operator_views.cpp
+++ b/src/operator_views.cpp
@@ -35,7 +35,9 @@
                                         record.fingerprint))},
                     {"account", record.account},
                     {"points", record.points},
-                    {"held_back", record.points >= poison_threshold},
+                    {"kind", record.part ? "part" : "request"},
+                    {"held_back", record.points >= hold_threshold(record)},
+                    {"first_crash_ms", record.first_at_ms},
                     {"last_crash_ms", record.at_ms},
                     {"endpoints", record.endpoints}});
   return rows;
--- a/src/poison.cpp
+++ b/src/poison.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iomanip>
 #include <sstream>
+#include <utility>
 
 namespace pollenloft {
 
@@ -18,17 +19,29 @@
 constexpr auto local_retention = std::chrono::minutes(10);
 constexpr std::size_t max_local_suspects = 4096;
 
+/// Time from a crash at the threshold to the first trial of a part.
+constexpr auto base_part_hold_time = std::chrono::seconds(5);
+/// Time for a nominated VM to get a request with the part.
+constexpr auto nomination_time = milliseconds(3000);
+constexpr auto min_retry_after = std::chrono::seconds(1);
+constexpr std::size_t max_known_survivals = 8192;
+
 constexpr int hex_digits = 16;  // of a fingerprint
 
-auto hold_time(int points) -> duration {
-  auto time = duration(base_hold_time);
+auto hold_time(duration base, int points, int threshold) -> duration {
+  auto time = base;
   const auto further_crashes =
-      (points - poison_threshold) / inferred_points_before_first_event;
+      (points - threshold) / inferred_points_before_first_event;
   for (int i = 0; i < std::min(further_crashes, max_hold_steps); ++i)
     time *= hold_time_factor;
   return std::min<duration>(time, max_hold_time);
 }
 
+/// Whether a crash adds to what is recorded until `last_ms`.
+auto counts(const wire::blame_command& report, std::int64_t last_ms) -> bool {
+  return !report.part || report.at_ms - last_ms >= part_crash_gap.count();
+}
+
 auto contains(const std::vector<std::string>& endpoints,
               const std::string& endpoint) -> bool {
   return std::find(endpoints.begin(), endpoints.end(), endpoint) !=
@@ -76,28 +89,41 @@
 
 auto crash_ledger::apply(const wire::blame_command& report) -> void {
   expire(milliseconds(report.at_ms));
-  if (report.survived) {
-    records_.erase(report.fingerprint);
-    return update_suspects();
-  }
+  if (report.survived) return apply_survival(report);
   auto& record = records_[report.fingerprint];
+  if (record.endpoints.empty()) record.first_at_ms = report.at_ms;
   record.fingerprint = report.fingerprint;
+  record.part = report.part;
   auto& endpoints = record.endpoints;
   if (contains(endpoints, report.endpoint)) return;
   if (endpoints.size() >= limits_.max_endpoints)
     endpoints.erase(endpoints.begin());
   endpoints.push_back(report.endpoint);
   record.account = report.account;
-  record.points += report.points;
-  record.at_ms = report.at_ms;
+  if (counts(report, record.at_ms)) {
+    record.points += report.points;
+    record.at_ms = report.at_ms;
+  }
   evict();
   update_suspects();
 }
 
+/// A survival before the first crash proves that the part did no harm then.
+auto crash_ledger::apply_survival(const wire::blame_command& report) -> void {
+  const auto found = records_.find(report.fingerprint);
+  if (found == records_.end()) return;
+  const auto survived_at_ms = report.at_ms - report.survived_ago_ms;
+  if (report.part && survived_at_ms < found->second.first_at_ms)
+    found->second.trusted = true;
+  else
+    records_.erase(found);
+  update_suspects();
+}
+
 auto crash_ledger::expire(milliseconds now) -> void {
   const auto expired = std::erase_if(records_, [&](const auto& item) {
     const auto& record = item.second;
-    const auto retention = record.points >= poison_threshold
+    const auto retention = record.points >= hold_threshold(record)
                                ? limits_.poison_retention
                                : limits_.suspect_retention;
     return milliseconds(record.at_ms) + retention < now;
@@ -119,6 +145,12 @@
   return found == records_.end() ? 0 : found->second.points;
 }
 
+auto crash_ledger::last_crash_ms(std::uint64_t fingerprint) const
+    -> std::int64_t {
+  const auto found = records_.find(static_cast<std::int64_t>(fingerprint));
+  return found == records_.end() ? 0 : found->second.at_ms;
+}
+
 auto crash_ledger::records() const -> std::vector<wire::blame_record> {
   std::vector<wire::blame_record> records;
   for (const auto& [fingerprint, record] : records_)
@@ -158,23 +190,13 @@
     const auto crashes = static_cast<int>(record->endpoints.size());
     const auto points =
         record->points - record->points * static_cast<int>(explained) / crashes;
-    if (points >= poison_threshold) poison.push_back(record);
+    if (points >= hold_threshold(*record)) poison.push_back(record);
     if (points < suspect_threshold || suspects_.size() >= limits_.max_suspects)
       continue;
-    suspects_.emplace_back();
-    suspects_.back().fingerprint = record->fingerprint;
+    suspects_.push_back(*record);
     suspects_.back().points = points;
-    suspects_.back().at_ms = record->at_ms;
-    suspects_.back().endpoints = record->endpoints;
-    suspects_.back().account = record->account;
   }
-  std::uint64_t digest = 0;
-  for (const auto& suspect : suspects_)
-    digest = hash64(std::to_string(suspect.fingerprint) + "/" +
-                        std::to_string(suspect.points) + "/" +
-                        std::to_string(suspect.at_ms),
-                    digest);
-  suspects_digest_ = static_cast<std::int64_t>(digest);
+  suspects_digest_ = pollenloft::suspects_digest(suspects_);
 }
 
 auto crash_inbox::add(const wire::blame_command& report,
@@ -188,15 +210,19 @@
     return {report};
   }
   if (held_.size() >= limits_.max_records) expire(milliseconds(report.at_ms));
-  if (held_.size() >= limits_.max_records) return {};
+  if (held_.size() >= limits_.max_records) evict();
   auto& reports = held_[report.fingerprint];
   const auto repeated = std::any_of(
       reports.begin(), reports.end(),
       [&](const auto& earlier) { return earlier.endpoint == report.endpoint; });
   if (!repeated) reports.push_back(report);
   auto points = committed_points;
-  for (const auto& each : reports)
+  auto last_ms = committed.last_crash_ms(fingerprint);
+  for (const auto& each : reports) {
+    if (!counts(each, last_ms)) continue;
     points += each.points;
+    last_ms = each.at_ms;
+  }
   if (points < suspect_threshold) return {};
   auto due = std::move(reports);
   held_.erase(report.fingerprint);
@@ -210,6 +236,67 @@
   });
 }
 
+auto crash_inbox::evict() -> void {
+  std::map<std::string, std::size_t> held_by_account;
+  for (const auto& [fingerprint, reports] : held_)
+    ++held_by_account[reports.back().account];
+  const auto largest = std::max_element(
+      held_by_account.begin(), held_by_account.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  std::vector<std::pair<std::int64_t, std::int64_t>> oldest;  // time, key
+  for (const auto& [fingerprint, reports] : held_)
+    if (reports.back().account == largest->first)
+      oldest.emplace_back(reports.back().at_ms, fingerprint);
+  // Several at once, so that not each report looks through all.
+  constexpr std::size_t evicted_share = 8;
+  const auto count = 1 + oldest.size() / evicted_share;
+  std::partial_sort(oldest.begin(),
+                    oldest.begin() + static_cast<std::ptrdiff_t>(count),
+                    oldest.end());
+  for (std::size_t i = 0; i < count; ++i)
+    held_.erase(oldest[i].second);
+}
+
+// --- trials of parts ---------------------------------------------------------
+
+auto hold_threshold(const wire::blame_record& record) -> int {
+  return record.part && record.trusted ? trusted_part_threshold
+                                       : poison_threshold;
+}
+
+auto part_hold_time(int points, int threshold) -> duration {
+  return hold_time(base_part_hold_time, points, threshold);
+}
+
+auto nominate_trials(std::vector<wire::blame_record>& suspects,
+                     const std::vector<std::string>& vms, milliseconds now)
+    -> void {
+  if (vms.empty()) return;
+  // All parts that are due are tried at the same VM, since a request may have
+  // several of them.
+  const std::int64_t slot = now / nomination_time;
+  const auto& vm = vms[hash64(std::to_string(slot)) % vms.size()];
+  for (auto& record : suspects) {
+    const auto threshold = hold_threshold(record);
+    if (!record.part || record.points < threshold) continue;
+    const auto hold = part_hold_time(record.points, threshold);
+    if (now < milliseconds(record.at_ms) + hold) continue;
+    record.trial = slot;
+    record.trial_vm = vm;
+  }
+}
+
+auto suspects_digest(const std::vector<wire::blame_record>& suspects)
+    -> std::int64_t {
+  std::uint64_t digest = 0;
+  for (const auto& suspect : suspects)
+    for (const auto number :
+         {suspect.fingerprint, std::int64_t{suspect.points}, suspect.at_ms,
+          std::int64_t{suspect.trusted}, suspect.trial})
+      digest = hash64(std::to_string(number) + "/", digest);
+  return static_cast<std::int64_t>(digest);
+}
+
 // --- decisions of an entry VM ------------------------------------------------
 
 auto crash_guard::suspect::points() const -> int {
@@ -224,18 +311,56 @@
   return found == suspects_.end() ? nullptr : &found->second;
 }
 
+auto crash_guard::survival_memory::add(std::uint64_t part, instant now)
+    -> void {
+  recent_[part] = now;
+  if (recent_.size() < max_known_survivals / 2) return;
+  older_ = std::exchange(recent_, {});
+}
+
+auto crash_guard::survival_memory::find(std::uint64_t part) const
+    -> std::optional<instant> {
+  for (const auto* each : {&recent_, &older_}) {
+    const auto found = each->find(part);
+    if (found != each->end()) return found->second;
+  }
+  return std::nullopt;
+}
+
 auto crash_guard::update(const std::vector<wire::blame_record>& suspects,
-                         instant now) -> void {
+                         instant now) -> std::vector<wire::blame_command> {
   std::set<std::uint64_t> listed;
+  std::vector<wire::blame_command> survivals;
   for (const auto& record : suspects) {
     const auto fingerprint = static_cast<std::uint64_t>(record.fingerprint);
+    const auto survived =
+        record.part ? survivals_.find(fingerprint) : std::nullopt;
+    const auto survived_crashes =
+        survived && *survived >= now - milliseconds(record.first_age_ms);
+    if (survived && (survived_crashes || !record.trusted)) {
+      survivals.emplace_back();
+      auto& survival = survivals.back();
+      survival.fingerprint = record.fingerprint;
+      survival.part = true;
+      survival.survived = true;
+      survival.survived_ago_ms =
+          std::chrono::floor<milliseconds>(now - *survived).count();
+    }
+    if (survived_crashes) continue;
     listed.insert(fingerprint);
     auto& suspect = suspects_[fingerprint];
+    suspect.is_part = record.part;
+    suspect.trusted = record.trusted || survived;
     suspect.leader_points = record.points;
     suspect.leader_endpoints = {record.endpoints.begin(),
                                 record.endpoints.end()};
     suspect.last_crash = std::max<instant>(suspect.last_crash,
                                            now - milliseconds(record.age_ms));
+    suspect.trial = record.trial_vm == vm_name_ ? record.trial : 0;
+    if (!suspect.held())
+      suspect.held_since = {};
+    else if (suspect.held_since == instant{})
+      suspect.held_since = now;
   }
   // The leader has dropped records that it listed before. Those that it never
   // listed may have too few points there.
@@ -243,6 +368,7 @@
     return item.second.leader_points > 0 && listed.count(item.first) == 0;
   });
   expire(now);
+  return survivals;
 }
 
 auto crash_guard::expire(instant now) -> void {
@@ -252,15 +378,37 @@
   });
 }
 
+auto crash_guard::insert(std::uint64_t fingerprint, instant now) -> suspect* {
+  if (suspects_.size() >= max_local_suspects) expire(now);
+  if (suspects_.size() >= max_local_suspects && find(fingerprint) == nullptr)
+    return nullptr;
+  return &suspects_[fingerprint];
+}
+
 auto crash_guard::record_crash(std::uint64_t fingerprint,
                                const std::string& endpoint, int points,
                                instant now) -> bool {
-  if (suspects_.size() >= max_local_suspects) expire(now);
-  if (suspects_.size() >= max_local_suspects && find(fingerprint) == nullptr)
+  auto* suspect = insert(fingerprint, now);
+  if (suspect == nullptr ||
+      !suspect->local_crashes.emplace(endpoint, points).second)
     return false;
-  auto& suspect = suspects_[fingerprint];
-  if (!suspect.local_crashes.emplace(endpoint, points).second) return false;
-  suspect.last_crash = now;
+  suspect->last_crash = now;
+  return true;
+}
+
+auto crash_guard::record_part_crash(std::uint64_t part,
+                                    const std::string& endpoint, instant now)
+    -> bool {
+  auto* suspect = insert(part, now);
+  if (suspect == nullptr) return false;
+  suspect->is_part = true;
+  suspect->trusted = suspect->trusted || survivals_.find(part);
+  const auto counts = now - suspect->last_crash >= part_crash_gap;
+  const auto points = counts ? inferred_points_before_first_event : 0;
+  if (!suspect->local_crashes.emplace(endpoint, points).second) return false;
+  if (counts) suspect->last_crash = now;
+  if (suspect->held() && suspect->held_since == instant{})
+    suspect->held_since = now;
   return true;
 }
 
@@ -268,6 +416,12 @@
   return suspects_.erase(fingerprint) > 0;
 }
 
+auto crash_guard::record_part_survival(std::uint64_t part, instant now)
+    -> bool {
+  survivals_.add(part, now);
+  return suspects_.erase(part) > 0;
+}
+
 auto crash_guard::points(std::uint64_t fingerprint) const -> int {
   const auto* suspect = find(fingerprint);
   return suspect == nullptr ? 0 : suspect->points();
@@ -277,36 +431,66 @@
 /// known to the others.
 auto crash_guard::trial_at(std::uint64_t fingerprint,
                            const suspect& record) const -> instant {
-  const auto hold = hold_time(record.points());
+  const auto hold =
+      hold_time(base_hold_time, record.points(), poison_threshold);
   random_source spread(hash64(std::to_string(fingerprint), vm_));
   const duration delay(static_cast<std::int64_t>(
       spread.below(static_cast<std::uint64_t>(hold.count()))));
   return std::max(record.last_crash + hold + delay, record.trial_until);
 }
 
-auto crash_guard::held_for(std::uint64_t fingerprint, instant now) const
+auto crash_guard::request_held_for(std::uint64_t fingerprint, instant now) const
     -> duration {
   const auto* record = find(fingerprint);
-  if (record == nullptr || record->points() < poison_threshold)
-    return duration::zero();
+  if (record == nullptr || !record->held()) return duration::zero();
   return std::max<duration>(trial_at(fingerprint, *record) - now,
                             duration::zero());
 }
 
-auto crash_guard::admit(std::uint64_t fingerprint, instant now) -> duration {
-  const auto wait = held_for(fingerprint, now);
-  const auto found = suspects_.find(fingerprint);
-  if (wait == duration::zero() && found != suspects_.end() &&
-      found->second.points() >= poison_threshold)
+auto crash_guard::part_held_for(std::uint64_t part, instant now) const
+    -> duration {
+  const auto* record = find(part);
+  if (record == nullptr || !record->held() ||
+      record->trial > record->trials_used)
+    return duration::zero();
+  const auto hold = part_hold_time(record->points(), record->threshold());
+  return std::max<duration>(record->last_crash + hold - now, min_retry_after);
+}
+
+auto crash_guard::held_for(const crash_features& features, instant now) const
+    -> duration {
+  auto wait = request_held_for(features.fingerprint, now);
+  for (const auto part : features.parts)
+    wait = std::max(wait, part_held_for(part, now));
+  return wait;
+}
+
+auto crash_guard::admit(const crash_features& features, instant now)
+    -> duration {
+  const auto wait = held_for(features, now);
+  if (wait > duration::zero()) return wait;
+  const auto found = suspects_.find(features.fingerprint);
+  if (found != suspects_.end() && found->second.held())
     found->second.trial_until = now + trial_time;
+  for (const auto part : features.parts) {
+    const auto record = suspects_.find(part);
+    if (record == suspects_.end()) continue;
+    record->second.trials_used = record->second.trial;
+  }
   return wait;
 }
 
-auto crash_guard::stopped_since(std::uint64_t fingerprint,
+auto crash_guard::stopped_since(const crash_features& features,
                                 instant admitted) const -> bool {
-  const auto* record = find(fingerprint);
-  return record != nullptr && record->points() >= poison_threshold &&
-         record->last_crash > admitted;
+  const auto* record = find(features.fingerprint);
+  if (record != nullptr && record->held() && record->last_crash > admitted)
+    return true;
+  return std::any_of(
+      features.parts.begin(), features.parts.end(), [&](const auto part) {
+        const auto* suspect = find(part);
+        return suspect != nullptr && suspect->held() &&
+               std::max(suspect->held_since, suspect->last_crash) > admitted;
+      });
 }
 
 }  // namespace pollenloft
--- a/support/pollenloft.thrift
+++ b/support/pollenloft.thrift
@@ -40,10 +40,14 @@
 // A request was on another endpoint when that crashed. With `survived`, an
 // endpoint ran it to the end, or the operator `who` cleared it, and what was
 // recorded against it is dropped.
+// With `part`, the fingerprint is that of a part of prompts. A survival of such a
+// part took place `survived_ago_ms` before the report.
 struct blame_command {
   1: i64 fingerprint, 2: string endpoint, 3: i64 at_ms, 4: i32 points,
-  5: bool survived, 6: string account, 7: string who
+  5: bool survived, 6: string account, 7: string who, 8: bool part,
+  9: i64 survived_ago_ms
 }
+struct blame_batch { 1: list<blame_command> reports }
 
 // Replaces the routing document if `number` is higher than the current one.
 // `packed` holds the text as a frame of the delta library without a base; `text`
@@ -64,11 +68,14 @@
 }
 struct version_record { 1: i64 version, 2: string id, 3: string body }
 struct patch_result { 1: string id, 2: i64 version, 3: string refusal }
-// `at_ms` is the time of the last crash; in renewals `age_ms` is the time since
-// then.
+// `at_ms` is the time of the last crash that counts and `first_at_ms` that of the
+// first one; in renewals `age_ms` and `first_age_ms` are the times since then. A
+// part is `trusted` if endpoints survived it before the first crash. The entry VM
+// `trial_vm` may admit one request with it; each nomination has a number.
 struct blame_record {
   1: i64 fingerprint, 2: list<string> endpoints, 3: i64 at_ms, 4: i32 points,
-  5: i64 age_ms, 6: string account
+  5: i64 age_ms, 6: string account, 7: bool part, 8: i64 first_at_ms,
+  9: i64 first_age_ms, 10: bool trusted, 11: string trial_vm, 12: i64 trial
 }
 
 struct control_snapshot {
--- a/test/control_client_test.cpp
+++ b/test/control_client_test.cpp
@@ -227,7 +227,7 @@
     run_for(milliseconds(200));
     auto& guard = control_->crashes();
     CPPUNIT_ASSERT_EQUAL(poison_threshold, guard.points(7));
-    CPPUNIT_ASSERT(guard.held_for(7, boottime_clock::now()) >
+    CPPUNIT_ASSERT(guard.held_for({7}, boottime_clock::now()) >
                    std::chrono::seconds(10));
     CPPUNIT_ASSERT_EQUAL(1, leader.suspect_lists);
     CPPUNIT_ASSERT(leader.renewals > 3);
--- a/test/drain_test.cpp
+++ b/test/drain_test.cpp
@@ -29,7 +29,7 @@
  public:
   explicit fake_leader(event_loop& loop)
       : server_(loop, http_limits{}, [this, &loop](const auto& call) {
-          if (call->request().path == "/control/blame") {
+          if (call->request().path == "/control/blames") {
             report = call;
             return;
           }
--- a/test/front_request_test.cpp
+++ b/test/front_request_test.cpp
@@ -57,7 +57,7 @@
   http_client client_;
   router router_;
   metrics metrics_;
-  crash_guard guard_{1};
+  crash_guard guard_{"1"};
   crash_monitor crashes_;
 };
 
--- a/test/poison_test.cpp
+++ b/test/poison_test.cpp
@@ -68,17 +68,17 @@
 
  public:
   auto request_runs_after_its_third_crash() -> void {
-    crash_guard guard(1);
+    crash_guard guard("1");
     guard.record_crash(killer, "a", points, start);
     guard.record_crash(killer, "b", points, start);
-    CPPUNIT_ASSERT(guard.admit(killer, start) == duration::zero());
+    CPPUNIT_ASSERT(guard.admit({killer}, start) == duration::zero());
     guard.record_crash(killer, "c", points, start);
-    CPPUNIT_ASSERT(guard.admit(killer, start) > std::chrono::seconds(10));
-    CPPUNIT_ASSERT(guard.admit(bystander, start) == duration::zero());
+    CPPUNIT_ASSERT(guard.admit({killer}, start) > std::chrono::seconds(10));
+    CPPUNIT_ASSERT(guard.admit({bystander}, start) == duration::zero());
   }
 
   auto one_crash_counts_for_each_request_on_the_endpoint() -> void {
-    crash_guard guard(1);
+    crash_guard guard("1");
     crash_ledger ledger;
     for (int i = 0; i < 5; ++i) {
       guard.record_crash(killer, "a", points, start);
@@ -92,7 +92,7 @@
     crash_ledger ledger;
     ledger.apply(crash(bystander, "a"));
     ledger.apply(crash(bystander, "b"));
-    crash_guard guard(1);
+    crash_guard guard("1");
     guard.update(ledger.suspects(), start);
     guard.record_crash(bystander, "b", points, start);
     CPPUNIT_ASSERT_EQUAL(2 * points, guard.points(bystander));
@@ -109,11 +109,11 @@
     CPPUNIT_ASSERT(ledger.suspects().empty());
     CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, ledger.suspects_digest());
 
-    crash_guard guard(1);
+    crash_guard guard("1");
     crash_three(guard, bystander, start);
     CPPUNIT_ASSERT(guard.record_survival(bystander));
     CPPUNIT_ASSERT(!guard.record_survival(bystander));
-    CPPUNIT_ASSERT(guard.admit(bystander, start) == duration::zero());
+    CPPUNIT_ASSERT(guard.admit({bystander}, start) == duration::zero());
   }
 
   auto bystander_of_a_poison_request_is_held_back() -> void {
@@ -211,28 +211,28 @@
     crash_ledger ledger;
     for (const auto* endpoint : {"a", "b", "c"})
       ledger.apply(crash(bystander, endpoint));
-    crash_guard guard(1);
+    crash_guard guard("1");
     guard.update(ledger.suspects(), start);
-    CPPUNIT_ASSERT(guard.admit(bystander, start) > duration::zero());
+    CPPUNIT_ASSERT(guard.admit({bystander}, start) > duration::zero());
     ledger.apply(survival(bystander));
     guard.update(ledger.suspects(), start);
-    CPPUNIT_ASSERT(guard.admit(bystander, start) == duration::zero());
+    CPPUNIT_ASSERT(guard.admit({bystander}, start) == duration::zero());
   }
 
   auto crash_after_admission_does_not_stop_the_request() -> void {
-    crash_guard guard(1);
+    crash_guard guard("1");
     crash_three(guard, killer, start + milliseconds(10));
-    CPPUNIT_ASSERT(guard.stopped_since(killer, start));
-    CPPUNIT_ASSERT(!guard.stopped_since(killer, start + milliseconds(20)));
+    CPPUNIT_ASSERT(guard.stopped_since({killer}, start));
+    CPPUNIT_ASSERT(!guard.stopped_since({killer}, start + milliseconds(20)));
   }
 
   auto trials_of_all_vms_come_at_once() -> void {
     constexpr int vms = 380;
     int open_after_a_tenth = 0;
     for (int vm = 0; vm < vms; ++vm) {
-      crash_guard guard(hash64(std::to_string(vm)));
+      crash_guard guard(std::to_string(vm));
       crash_three(guard, killer, start);
-      const auto wait = guard.held_for(killer, start);
+      const auto wait = guard.held_for({killer}, start);
       CPPUNIT_ASSERT(wait >= std::chrono::seconds(20));
       CPPUNIT_ASSERT(wait <= std::chrono::seconds(40));
       open_after_a_tenth += wait < std::chrono::seconds(22) ? 1 : 0;
@@ -242,22 +242,22 @@
   }
 
   auto trial_admits_more_than_one() -> void {
-    crash_guard guard(1);
+    crash_guard guard("1");
     crash_three(guard, killer, start);
     const auto trial = start + std::chrono::seconds(41);
-    CPPUNIT_ASSERT(guard.admit(killer, trial) == duration::zero());
-    CPPUNIT_ASSERT(guard.admit(killer, trial) > duration::zero());
-    CPPUNIT_ASSERT(!guard.stopped_since(killer, trial));
+    CPPUNIT_ASSERT(guard.admit({killer}, trial) == duration::zero());
+    CPPUNIT_ASSERT(guard.admit({killer}, trial) > duration::zero());
+    CPPUNIT_ASSERT(!guard.stopped_since({killer}, trial));
   }
 
   auto crash_in_a_trial_does_not_prolong_the_hold() -> void {
-    crash_guard guard(1);
+    crash_guard guard("1");
     crash_three(guard, killer, start);
     const auto trial = start + std::chrono::seconds(41);
-    guard.admit(killer, trial);
+    guard.admit({killer}, trial);
     guard.record_crash(killer, "d", points, trial);
-    CPPUNIT_ASSERT(guard.stopped_since(killer, trial - milliseconds(1)));
-    CPPUNIT_ASSERT(guard.held_for(killer, trial) >= std::chrono::seconds(60));
+    CPPUNIT_ASSERT(guard.stopped_since({killer}, trial - milliseconds(1)));
+    CPPUNIT_ASSERT(guard.held_for({killer}, trial) >= std::chrono::seconds(60));
   }
 
   /// Nine VMs send one request 50 times a second to 3 endpoints, each of which
@@ -270,7 +270,7 @@
     crash_ledger ledger;
     std::vector<crash_guard> guards;
     for (std::uint64_t vm = 0; vm < 9; ++vm)
-      guards.emplace_back(vm);
+      guards.emplace_back(std::to_string(vm));
     random_source random(7);
     auto held_back = 0;
     auto crashes = 0;
@@ -278,7 +278,7 @@
       const auto ms = i * request_period_ms;
       const auto now = start + milliseconds(ms);
       auto& guard = guards.at(random.below(guards.size()));
-      if (guard.admit(bystander, now) > duration::zero()) {
+      if (guard.admit({bystander}, now) > duration::zero()) {
         ++held_back;
         continue;
       }
