Read responses without a length to the end of the connection

Callers saw: an endpoint's answer with neither a length nor chunks and with a Connection field other than "close" (keep-alive, or a list) came to the caller as 200 with an empty body, also if the endpoint had reset the connection; a stream ended as complete without an event. Both interfaces.

Cause: evhttp takes such a response for one without a body and completes it after the header.

Change: the client replaces the Connection field of a response that ends with its connection by "close" before evhttp reads the body.

--- a/include/pollenloft/net.hpp
+++ b/include/pollenloft/net.hpp
@@ -213,7 +213,8 @@
   duration connect_timeout = std::chrono::seconds(10);
 };
 
-/// The complete response was received.
+/// The complete response was received: as many bytes as it announced or, without
+/// a length, all until the peer closed the connection. A reset is not an end.
 struct call_completed {
   int status = 0;  ///< HTTP status code
 };
--- a/src/net.cpp
+++ b/src/net.cpp
@@ -72,6 +72,15 @@
   return EVHTTP_REQ_OPTIONS;
 }
 
+/// Whether the body of this response ends with its connection.
+auto ends_with_connection(evhttp_request* response, const http_headers& headers)
+    -> bool {
+  const auto status = evhttp_request_get_response_code(response);
+  return status != HTTP_NOCONTENT && status != HTTP_NOTMODIFIED &&
+         evhttp_request_get_command(response) != EVHTTP_REQ_HEAD &&
+         !headers.find("Content-Length") && !headers.find("Transfer-Encoding");
+}
+
 }  // namespace
 
 struct timer::impl {
@@ -593,11 +602,14 @@
                        &size) == 0;
   }
 
+  auto input() const -> evbuffer* {
+    return bufferevent_get_input(evhttp_connection_get_bufferevent(connection));
+  }
+
   /// Bytes of the response body that have arrived so far.
   auto received_bytes() const -> std::size_t {
-    auto* stream = evhttp_connection_get_bufferevent(connection);
     return evbuffer_get_length(evhttp_request_get_input_buffer(request)) +
-           evbuffer_get_length(bufferevent_get_input(stream));
+           evbuffer_get_length(input());
   }
 
   auto on_timeout() -> void {
@@ -617,13 +629,23 @@
   static auto on_header(evhttp_request* handle, void* arg) -> int {
     auto* self = static_cast<impl*>(arg);
     if (self->done) return 0;
-    self->status = evhttp_request_get_response_code(handle);
-    if (self->handlers.on_headers)
-      self->handlers.on_headers(
-          self->status, read_headers(evhttp_request_get_input_headers(handle)));
+    self->handle_header(handle);
     return 0;
   }
 
+  auto handle_header(evhttp_request* handle) -> void {
+    auto* fields = evhttp_request_get_input_headers(handle);
+    status = evhttp_request_get_response_code(handle);
+    const auto headers = read_headers(fields);
+    // With any other Connection field, evhttp expects no body.
+    if (ends_with_connection(handle, headers)) {
+      while (evhttp_remove_header(fields, "Connection") == 0) {
+      }
+      evhttp_add_header(fields, "Connection", "close");
+    }
+    if (handlers.on_headers) handlers.on_headers(status, headers);
+  }
+
   static auto on_chunk(evhttp_request* handle, void* arg) -> void {
     auto* self = static_cast<impl*>(arg);
     const auto data = buffer_text(evhttp_request_get_input_buffer(handle));
@@ -663,7 +685,7 @@
       case EVREQ_HTTP_INVALID_HEADER:
         return "invalid header";
       case EVREQ_HTTP_DATA_TOO_LONG:
-        return "answer too long";
+        return "response too long";
       default:
         return "connection failed";
     }
