Interrupt calls whose response has an invalid head

Callers saw: bytes of an endpoint that are no response reached them as one: status 999 or -5 was passed on; of two different lengths the first one was taken, so that a cut body looked whole; the fields of a 100 response were kept for the final one, so that its body was cut to the length of the other.

Cause: evhttp checks neither the range of the status, repeated length fields nor what an interim response leaves in the fields.

Evidence: test/response_framing_test.cpp. Before, 4 of 18 cases failed: garbage_reaches_the_caller (expected 502, got 999), invalid_status_is_taken_for_a_response (expected 0, got 999), interim_response_is_taken_for_the_response (expected "whole", got "wh") and conflicting_lengths_are_accepted (expected 0, got 200).

Ruled out: lines that are no status line, HTTP/2.0 and a transfer coding other than chunked were interrupted before; cases guard it.

Change: the client checks status, lengths and transfer coding when the header has arrived, clears the fields of a 100 response, and interrupts the call at any other interim response.

--- a/src/net.cpp
+++ b/src/net.cpp
@@ -21,6 +21,9 @@
 
 namespace {
 
+constexpr int continue_status = 100;
+constexpr int max_status = 599;
+
 auto to_timeval(duration d) -> timeval {
   const auto us = std::chrono::duration_cast<std::chrono::microseconds>(d);
   return {us.count() / 1000000, us.count() % 1000000};
@@ -72,6 +75,19 @@
   return EVHTTP_REQ_OPTIONS;
 }
 
+/// Whether all length fields are the same, and the transfer coding is one that
+/// evhttp decodes.
+auto framing_is_known(const http_headers& headers) -> bool {
+  const auto length = headers.find("Content-Length");
+  const auto& fields = headers.fields();
+  return std::all_of(fields.begin(), fields.end(), [&](const auto& field) {
+    const auto* name = field.first.c_str();
+    if (strcasecmp(name, "Content-Length") == 0) return field.second == *length;
+    return strcasecmp(name, "Transfer-Encoding") != 0 ||
+           strcasecmp(field.second.c_str(), "chunked") == 0;
+  });
+}
+
 /// Whether the body of this response ends with its connection.
 auto ends_with_connection(evhttp_request* response, const http_headers& headers)
     -> bool {
@@ -553,8 +569,9 @@
   bool done = false;
   bool reusable = false;
   int status = 0;
-  std::string error_body;      // body of a response with another status
-  std::shared_ptr<impl> self;  // keeps the state alive until released
+  std::string error_body;           // body of a response with another status
+  const char* rejection = nullptr;  // of the response, by this client
+  std::shared_ptr<impl> self;       // keeps the state alive until released
   sigc::slot<void(evhttp_connection*)> return_to_pool;
 
   explicit impl(event_loop& loop) : loop(loop) {}
@@ -629,14 +646,22 @@
   static auto on_header(evhttp_request* handle, void* arg) -> int {
     auto* self = static_cast<impl*>(arg);
     if (self->done) return 0;
-    self->handle_header(handle);
-    return 0;
+    return self->handle_header(handle) ? 0 : -1;
   }
 
-  auto handle_header(evhttp_request* handle) -> void {
+  auto handle_header(evhttp_request* handle) -> bool {
     auto* fields = evhttp_request_get_input_headers(handle);
     status = evhttp_request_get_response_code(handle);
+    // evhttp reads the final response into the same fields.
+    if (status == continue_status) {
+      evhttp_clear_headers(fields);
+      return true;
+    }
     const auto headers = read_headers(fields);
+    if (status < HTTP_OK || status > max_status || !framing_is_known(headers)) {
+      rejection = "invalid response";
+      return false;
+    }
     // With any other Connection field, evhttp expects no body.
     if (ends_with_connection(handle, headers)) {
       while (evhttp_remove_header(fields, "Connection") == 0) {
@@ -644,6 +669,7 @@
       evhttp_add_header(fields, "Connection", "close");
     }
     if (handlers.on_headers) handlers.on_headers(status, headers);
+    return true;
   }
 
   static auto on_chunk(evhttp_request* handle, void* arg) -> void {
@@ -677,6 +703,7 @@
   }
 
   auto failure_text() const -> std::string {
+    if (rejection != nullptr) return rejection;
     switch (failure) {
       case EVREQ_HTTP_TIMEOUT:
         return "timed out";
--- a/test/response_framing_test.cpp
+++ b/test/response_framing_test.cpp
@@ -150,6 +150,11 @@
   CPPUNIT_TEST(reset_response_without_length_looks_whole);
   CPPUNIT_TEST(short_response_looks_whole);
   CPPUNIT_TEST(cut_chunk_reaches_the_data_callback);
+  CPPUNIT_TEST(garbage_is_taken_for_a_response);
+  CPPUNIT_TEST(invalid_status_is_taken_for_a_response);
+  CPPUNIT_TEST(interim_response_is_taken_for_the_response);
+  CPPUNIT_TEST(unknown_transfer_coding_is_taken_for_the_body);
+  CPPUNIT_TEST(conflicting_lengths_are_accepted);
   CPPUNIT_TEST(bytes_after_a_response_answer_the_next_call);
   CPPUNIT_TEST_SUITE_END();
 
@@ -253,6 +258,38 @@
     CPPUNIT_ASSERT_EQUAL(std::string("whole"), streamed_);
   }
 
+  auto garbage_is_taken_for_a_response() -> void {
+    for (const auto* bytes :
+         {"garbage\r\n\r\n", "\x01\x02\x03\r\n", "HTTP/2.0 200 OK\r\n\r\nx",
+          "200 OK\r\n\r\n", "HTTP/1.1 OK\r\n\r\n", ""})
+      expect_interruption({bytes});
+  }
+
+  auto invalid_status_is_taken_for_a_response() -> void {
+    for (const auto* status : {"999", "-5", "20", "20x", "99999", "600"})
+      expect_interruption({"HTTP/1.1 " + std::string(status) +
+                           " X\r\nContent-Length: 1\r\n\r\nx"});
+  }
+
+  auto interim_response_is_taken_for_the_response() -> void {
+    expect_body({"HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\n" + head +
+                     "Content-Length: 5\r\n\r\nwhole",
+                 ending::none},
+                "whole");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, statuses_.size());
+    expect_interruption({"HTTP/1.1 103 Hints\r\n\r\n", ending::none});
+  }
+
+  auto unknown_transfer_coding_is_taken_for_the_body() -> void {
+    expect_interruption(
+        {head + "Transfer-Encoding: gzip, chunked\r\n\r\n5\r\nwhole\r\n"});
+  }
+
+  auto conflicting_lengths_are_accepted() -> void {
+    expect_interruption(
+        {head + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nwhole"});
+  }
+
   auto bytes_after_a_response_answer_the_next_call() -> void {
     http_client client(loop_);
     const auto whole = head + "Content-Length: 5\r\n\r\nfirst";
@@ -333,6 +370,7 @@
   CPPUNIT_TEST_SUITE(entry_framing_test);
   CPPUNIT_TEST(response_without_length_does_not_reach_the_caller);
   CPPUNIT_TEST(cut_response_looks_whole_to_the_caller);
+  CPPUNIT_TEST(garbage_reaches_the_caller);
   CPPUNIT_TEST(whole_stream_without_length_is_broken_off);
   CPPUNIT_TEST(cut_stream_looks_whole);
   CPPUNIT_TEST(cut_stream_is_not_resumed);
@@ -464,6 +502,12 @@
     expect_failure({head});
   }
 
+  auto garbage_reaches_the_caller() -> void {
+    expect_failure({"part of garbage\r\n\r\n"});
+    expect_failure({"HTTP/1.1 999 X\r\nContent-Length: 4\r\n\r\npart"});
+    expect_failure({"HTTP/1.1 103 X\r\n\r\n"});
+  }
+
   auto whole_stream_without_length_is_broken_off() -> void {
     for (const auto* path : {"/single/", "/resumable/"})
       for (const auto* field : {"", "Connection: keep-alive\r\n"}) {
