Limit what the client reads of one response

Callers saw: an endpoint that sends bytes without end held its caller until the deadline (504 after 4 s in the test, with a 502 for the error of a stream), and the entry VM kept all of the bytes.

Cause: evhttp has no limits unless they are set, and its limit on the body bounds neither the line that begins a chunk nor, in a stream, one chunk or the body of an error.

Evidence: test/response_framing_test.cpp, an endpoint that sends 24 MiB and then holds the connection. Before, 7 cases of http_client failed (status line, header, body, chunk size, trailer, error body, chunk: "timed out" after 4 s) and 3 of the interfaces of an entry VM (endless_response_holds_the_caller_to_the_timeout: expected 502, got 504).

Ruled out: streams of any length (12 MiB) and plain bodies of 6 MiB passed and still do.

Change: http_call has limits on header and body. evhttp enforces what it can; the client watches the input buffer and the body of errors for the rest, interrupts the call and closes the connection. Endpoints: header 64 KiB, plain body 8 MiB (that of a request), chunk or error of a stream 2 MiB (twice an event). Calls between own processes: 64 MiB, twice the largest transfer.

--- a/include/pollenloft/engine.hpp
+++ b/include/pollenloft/engine.hpp
@@ -32,6 +32,14 @@
   chain stages;                  ///< must not be empty
 };
 
+/// Limits on the whole response of an endpoint to a plain request: its body may
+/// be as long as that of a request.
+inline constexpr response_limits plain_response_limits{64 * 1024,
+                                                       8 * 1024 * 1024};
+inline constexpr std::size_t max_event_bytes = 1024 * 1024;
+/// Limits on each chunk of a stream of an endpoint, or the body of an error.
+inline constexpr response_limits stream_limits{64 * 1024, 2 * max_event_bytes};
+
 /// Encodes the dispatch. The timeout of the call is left at its default.
 auto make_generate_call(const generate_call& call) -> http_call;
 
--- a/include/pollenloft/net.hpp
+++ b/include/pollenloft/net.hpp
@@ -196,6 +196,15 @@
   std::unique_ptr<impl> impl_;
 };
 
+/// Limits on the memory that `http_client` uses for one response.
+struct response_limits {
+  std::size_t header_bytes = 64 * 1024;  ///< status line and header fields
+  /// The whole body or, if the call has `on_data`, each chunk and the body of a
+  /// response with another status than 200. Processes send each other no more
+  /// than half of it.
+  std::size_t body_bytes = 64 * 1024 * 1024;
+};
+
 /// A request that `http_client` sends.
 struct http_call {
   socket_address peer;
@@ -211,10 +220,13 @@
   /// Time to establish a new connection; a call that exceeds it ends as
   /// `call_unsent`.
   duration connect_timeout = std::chrono::seconds(10);
+  /// A call whose response exceeds them ends as `call_interrupted`.
+  response_limits limits{};
 };
 
-/// The complete response was received: as many bytes as it announced or, without
-/// a length, all until the peer closed the connection. A reset is not an end.
+/// The complete response was received: as many bytes as it announced or,
+/// without a length, all until the peer closed the connection. A reset is not
+/// an end.
 struct call_completed {
   int status = 0;  ///< HTTP status code
 };
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -417,6 +417,7 @@
   outgoing.headers.add("Pollenloft-Request", dispatch_id_);
   outgoing.headers.add("Pollenloft-Endpoint", stages_.front().endpoint->id);
   outgoing.body = received.body;
+  outgoing.limits = plain_response_limits;
   outgoing.timeout =
       params_.deadline - boottime_clock::now() + std::chrono::seconds(1);
   const auto attempt = lifecycle_.attempt();
--- a/src/engine.cpp
+++ b/src/engine.cpp
@@ -8,7 +8,6 @@
 
 using json = nlohmann::json;
 
-constexpr std::size_t max_event_bytes = 1 << 20;
 constexpr std::size_t incarnation_digits = 20;
 constexpr std::size_t session_digits = 6;
 
@@ -90,6 +89,7 @@
   result.target = "/v1/generate";
   result.headers.add("Content-Type", "application/json");
   result.body = body.dump();
+  result.limits = stream_limits;
   return result;
 }
 
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -1,5 +1,6 @@
 #include "front_request.hpp"
 
+#include "pollenloft/engine.hpp"
 #include "pollenloft/poison.hpp"
 
 namespace pollenloft {
@@ -19,7 +20,6 @@
 constexpr auto min_response_timeout = milliseconds(300);
 /// A stream is aborted when its caller leaves more bytes than this unread.
 constexpr std::size_t max_unread_bytes = 1024 * 1024;
-constexpr std::size_t max_event_bytes = 1024 * 1024;
 /// Callers abandon a stream that pauses for 2 s. Detecting the failure and
 /// prefilling the tokens on the new stages use up the rest of that time.
 constexpr auto repair_timeout = milliseconds(900);
@@ -140,6 +140,7 @@
   call.body = request.body;
   call.timeout = time_left() + std::chrono::seconds(1);
   call.connect_timeout = connect_timeout;
+  call.limits = is_stream() ? stream_limits : plain_response_limits;
   return call;
 }
 
--- a/src/net.cpp
+++ b/src/net.cpp
@@ -569,7 +569,9 @@
   bool done = false;
   bool reusable = false;
   int status = 0;
-  std::string error_body;           // body of a response with another status
+  std::string error_body;  // body of a response with another status
+  response_limits limits;
+  evbuffer_cb_entry* input_watch = nullptr;
   const char* rejection = nullptr;  // of the response, by this client
   std::shared_ptr<impl> self;       // keeps the state alive until released
   sigc::slot<void(evhttp_connection*)> return_to_pool;
@@ -582,6 +584,7 @@
     done = true;
     timeout_timer = timer();
     connect_timer = timer();
+    evbuffer_remove_cb_entry(input(), input_watch);
     // evhttp still uses the connection while its callback runs.
     loop.post([state = std::move(self), keep_connection] {
       if (keep_connection)
@@ -629,6 +632,34 @@
            evbuffer_get_length(input());
   }
 
+  /// evhttp limits the header and the sum of all chunks, but neither the line
+  /// that begins a chunk nor, in a stream of any length, a chunk.
+  auto apply_limits() -> void {
+    evhttp_connection_set_max_headers_size(
+        connection, static_cast<ev_ssize_t>(limits.header_bytes));
+    evhttp_connection_set_max_body_size(
+        connection,
+        handlers.on_data ? -1 : static_cast<ev_ssize_t>(limits.body_bytes));
+    input_watch = evbuffer_add_cb(input(), &on_input, this);
+  }
+
+  static auto on_input(evbuffer* buffer, const evbuffer_cb_info* change,
+                       void* arg) -> void {
+    auto* self = static_cast<impl*>(arg);
+    const auto limit = self->limits.header_bytes + self->limits.body_bytes;
+    if (change->n_added == 0 || evbuffer_get_length(buffer) <= limit) return;
+    // The bufferevent still reads.
+    self->loop.post([state = self->self] {
+      if (!state->done) state->interrupt_oversized();
+    });
+  }
+
+  auto interrupt_oversized() -> void {
+    failure = EVREQ_HTTP_DATA_TOO_LONG;
+    finish(call_interrupted{{step, peer, failure_text()}, received_bytes()}, {},
+           false);
+  }
+
   auto on_timeout() -> void {
     finish(call_interrupted{{step, peer, "timed out"}, received_bytes()}, {},
            false);
@@ -679,6 +710,8 @@
     self->status = evhttp_request_get_response_code(handle);
     if (self->status != HTTP_OK) {
       self->error_body += data;
+      if (self->error_body.size() > self->limits.body_bytes)
+        self->interrupt_oversized();
       return;
     }
     auto state = self->self;
@@ -794,6 +827,8 @@
                                   impl_.get());
   };
   evhttp_connection_set_retries(state->connection, 0);
+  state->limits = call.limits;
+  state->apply_limits();
 
   auto* raw = state.get();
   auto* handle = evhttp_request_new(&pending_call::impl::on_complete, raw);
--- a/test/response_framing_test.cpp
+++ b/test/response_framing_test.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t endless_bytes = 24 * mebibyte;
 constexpr auto call_timeout = std::chrono::seconds(4);
 
+constexpr response_limits limits{64 * 1024, 8 * mebibyte};
+
 enum class ending { none, closed, reset };
 
 /// What an endpoint sends for one request: `bytes`, then `repeated` without
@@ -138,6 +140,7 @@
 
 const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n";
 const std::string chunked_head = head + "Transfer-Encoding: chunked\r\n\r\n";
+const std::string error_head = "HTTP/1.1 500 Failed\r\n";
 
 }  // namespace
 
@@ -156,6 +159,15 @@
   CPPUNIT_TEST(unknown_transfer_coding_is_taken_for_the_body);
   CPPUNIT_TEST(conflicting_lengths_are_accepted);
   CPPUNIT_TEST(bytes_after_a_response_answer_the_next_call);
+  CPPUNIT_TEST(endless_status_line_is_read_to_the_timeout);
+  CPPUNIT_TEST(endless_header_is_read_to_the_timeout);
+  CPPUNIT_TEST(endless_body_is_read_to_the_timeout);
+  CPPUNIT_TEST(endless_chunk_size_is_read_to_the_timeout);
+  CPPUNIT_TEST(endless_trailer_is_read_to_the_timeout);
+  CPPUNIT_TEST(endless_error_body_is_read_to_the_timeout);
+  CPPUNIT_TEST(endless_chunk_is_read_to_the_timeout);
+  CPPUNIT_TEST(long_stream_exceeds_the_limit);
+  CPPUNIT_TEST(large_response_exceeds_the_limit);
   CPPUNIT_TEST_SUITE_END();
 
  protected:
@@ -171,6 +183,7 @@
     request.body = "hello";
     request.keep_alive = keep_alive;
     request.timeout = call_timeout;
+    request.limits = limits;
     result_.reset();
     statuses_.clear();
     body_.clear();
@@ -301,6 +314,93 @@
     send(client, false, true);
     CPPUNIT_ASSERT_EQUAL(std::string("second"), body_);
   }
+
+  /// Expects an interruption well before the call times out, and no more than
+  /// the rest of the buffers to be sent after it.
+  auto expect_bound(const raw_response& response, bool stream) -> void {
+    const auto start = boottime_clock::now();
+    call(response, stream);
+    const auto took = boottime_clock::now() - start;
+    CPPUNIT_ASSERT(std::holds_alternative<call_interrupted>(*result_));
+    const auto reason = std::get<call_interrupted>(*result_).cause.reason;
+    CPPUNIT_ASSERT_MESSAGE(
+        reason, reason == "response too long" || reason == "invalid header");
+    CPPUNIT_ASSERT(took < call_timeout / 2);
+    CPPUNIT_ASSERT_EQUAL(std::string(), body_);
+    const auto end = loop_.after(milliseconds(50), [this] { loop_.stop(); });
+    loop_.run();
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{0}, endpoint_->open_connections());
+  }
+
+  static auto endless(const std::string& bytes, const std::string& repeated)
+      -> raw_response {
+    return {bytes, ending::none, repeated};
+  }
+
+  auto endless_status_line_is_read_to_the_timeout() -> void {
+    for (const auto stream : {false, true}) {
+      expect_bound(endless("HTTP/1.1 200 ", "x"), stream);
+      expect_bound(endless("", "x"), stream);
+    }
+  }
+
+  auto endless_header_is_read_to_the_timeout() -> void {
+    for (const auto stream : {false, true}) {
+      expect_bound(endless(head + "X: ", "x"), stream);
+      expect_bound(endless(head, "X: some value\r\n"), stream);
+    }
+  }
+
+  auto endless_body_is_read_to_the_timeout() -> void {
+    expect_bound(endless(head + "\r\n", std::string(1000, 'x')), false);
+    expect_bound(endless(chunked_head, chunk(std::string(1000, 'x'))), false);
+    expect_bound(endless(head + "Content-Length: 99999999999\r\n\r\n",
+                         std::string(1000, 'x')),
+                 false);
+  }
+
+  auto endless_chunk_size_is_read_to_the_timeout() -> void {
+    for (const auto stream : {false, true})
+      expect_bound(endless(chunked_head, "0"), stream);
+  }
+
+  auto endless_trailer_is_read_to_the_timeout() -> void {
+    for (const auto stream : {false, true})
+      expect_bound(endless(chunked_head + "0\r\n", "X: some value\r\n"),
+                   stream);
+  }
+
+  auto endless_error_body_is_read_to_the_timeout() -> void {
+    const auto part = std::string(1000, 'x');
+    expect_bound(endless(error_head + "\r\n", part), true);
+    expect_bound(
+        endless(error_head + "Content-Length: 99999999999\r\n\r\n", part),
+        true);
+    expect_bound(
+        endless(error_head + "Transfer-Encoding: chunked\r\n\r\n", chunk(part)),
+        true);
+  }
+
+  auto endless_chunk_is_read_to_the_timeout() -> void {
+    expect_bound(endless(chunked_head + "ffffffff\r\n", "x"), true);
+  }
+
+  auto long_stream_exceeds_the_limit() -> void {
+    const std::string part(mebibyte, 'x');
+    std::string body;
+    for (int i = 0; i < 12; ++i)
+      body += chunk(part);
+    call({chunked_head + body + "0\r\n\r\n"}, true);
+    CPPUNIT_ASSERT_EQUAL(200, status());
+    CPPUNIT_ASSERT_EQUAL(12 * part.size(), streamed_.size());
+  }
+
+  auto large_response_exceeds_the_limit() -> void {
+    const std::string body(6 * mebibyte, 'x');
+    call({head + "\r\n" + body}, false);
+    CPPUNIT_ASSERT_EQUAL(200, status());
+    CPPUNIT_ASSERT_EQUAL(body.size(), body_.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(response_framing_test);
@@ -371,9 +471,13 @@
   CPPUNIT_TEST(response_without_length_does_not_reach_the_caller);
   CPPUNIT_TEST(cut_response_looks_whole_to_the_caller);
   CPPUNIT_TEST(garbage_reaches_the_caller);
+  CPPUNIT_TEST(large_response_does_not_reach_the_caller);
+  CPPUNIT_TEST(endless_response_holds_the_caller_to_the_timeout);
   CPPUNIT_TEST(whole_stream_without_length_is_broken_off);
   CPPUNIT_TEST(cut_stream_looks_whole);
   CPPUNIT_TEST(cut_stream_is_not_resumed);
+  CPPUNIT_TEST(endless_event_holds_the_caller_to_the_timeout);
+  CPPUNIT_TEST(endless_error_of_a_stream_holds_the_caller_to_the_timeout);
   CPPUNIT_TEST_SUITE_END();
 
   std::unique_ptr<event_loop> loop_;
@@ -508,6 +612,22 @@
     expect_failure({"HTTP/1.1 103 X\r\n\r\n"});
   }
 
+  auto large_response_does_not_reach_the_caller() -> void {
+    expect_whole({head + "\r\n" + std::string(6 * mebibyte, 'x')},
+                 std::string(6 * mebibyte, 'x'));
+  }
+
+  auto endless_response_holds_the_caller_to_the_timeout() -> void {
+    const auto part = std::string(1000, 'x');
+    for (const auto& response :
+         std::vector<raw_response>{{"", ending::none, "x"},
+                                   {head, ending::none, "X: some value\r\n"},
+                                   {head + "\r\n", ending::none, part},
+                                   {chunked_head, ending::none, chunk(part)},
+                                   {chunked_head, ending::none, "0"}})
+      expect_failure(response);
+  }
+
   auto whole_stream_without_length_is_broken_off() -> void {
     for (const auto* path : {"/single/", "/resumable/"})
       for (const auto* field : {"", "Connection: keep-alive\r\n"}) {
@@ -545,6 +665,30 @@
                      std::string::npos);
     }
   }
+
+  auto endless_event_holds_the_caller_to_the_timeout() -> void {
+    for (const auto& response : std::vector<raw_response>{
+             {head + "\r\n" + event(1), ending::none, "data: x"},
+             {chunked_head + chunk(event(1)), ending::none, chunk("data: x")},
+             {chunked_head + chunk(event(1)) + "ffffffff\r\n", ending::none,
+              "data: x"}}) {
+      const auto start = boottime_clock::now();
+      expect_cut(response, event(1));
+      CPPUNIT_ASSERT(boottime_clock::now() - start < call_timeout / 2);
+    }
+  }
+
+  auto endless_error_of_a_stream_holds_the_caller_to_the_timeout() -> void {
+    const auto part = std::string(1000, 'x');
+    for (const auto& response : std::vector<raw_response>{
+             {error_head + "\r\n", ending::none, part},
+             {error_head + "Transfer-Encoding: chunked\r\n\r\n", ending::none,
+              chunk(part)}}) {
+      const auto start = boottime_clock::now();
+      CPPUNIT_ASSERT_EQUAL(502, call("/single/", {response}));
+      CPPUNIT_ASSERT(boottime_clock::now() - start < call_timeout / 2);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(entry_framing_test);
