Keep events of another request from callers

Callers saw: when an endpoint answered a stream with the Request-Id of another request, the events of that request were passed on; the stream was aborted at its end only.

Cause: the front compared the id when the response was complete.

Ruled out: plain responses were checked before their body was passed on (front_request_test, response_to_another_request_is_not_forwarded).

Change: the id is compared before any event is passed on. Such an attempt fails at once; a resumable stream continues at another endpoint.

--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -192,9 +192,17 @@
   response_head_ = platform::decode_response_head(status, headers);
 }
 
+auto front_request::answers_other_request() const -> bool {
+  return !response_head_.request_id.empty() &&
+         response_head_.request_id != params_.headers.request_id;
+}
+
 auto front_request::handle_data(std::size_t attempt, std::string_view bytes)
     -> void {
   if (attempt != lifecycle_.attempt() || !dispatch_active_) return;
+  if (answers_other_request())
+    return fail_attempt({"answer.head", stages_.front().endpoint->id,
+                         "the answer is for another request"});
   partial_event_ += bytes;
   if (partial_event_.size() > max_event_bytes)
     return fail_attempt(
@@ -256,9 +264,7 @@
 }
 
 auto front_request::handle_response(std::string_view body) -> void {
-  const auto& expected_id = params_.headers.request_id;
-  if (!response_head_.request_id.empty() &&
-      response_head_.request_id != expected_id)
+  if (answers_other_request())
     return fail_attempt({"answer.head", stages_.front().endpoint->id,
                          "the answer is for another request"});
   if (response_head_.not_run) return handle_refusal();
--- a/test/response_framing_test.cpp
+++ b/test/response_framing_test.cpp
@@ -478,6 +478,7 @@
   CPPUNIT_TEST(cut_stream_is_not_resumed);
   CPPUNIT_TEST(endless_event_holds_the_caller_to_the_timeout);
   CPPUNIT_TEST(endless_error_of_a_stream_holds_the_caller_to_the_timeout);
+  CPPUNIT_TEST(events_of_another_request_reach_the_caller);
   CPPUNIT_TEST_SUITE_END();
 
   std::unique_ptr<event_loop> loop_;
@@ -689,6 +690,16 @@
       CPPUNIT_ASSERT(boottime_clock::now() - start < call_timeout / 2);
     }
   }
+
+  auto events_of_another_request_reach_the_caller() -> void {
+    const auto other =
+        "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\n\r\n" + event(1) + event(2);
+    CPPUNIT_ASSERT_EQUAL(502, call("/single/", {{other}}));
+    CPPUNIT_ASSERT(body_.find("data") == std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(
+        200, call("/resumable/", {{other}, {head + "\r\n" + event(1)}}));
+    CPPUNIT_ASSERT_EQUAL(event(1), body_);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(entry_framing_test);
