Search and remove stream events in linear time

Callers saw: when an endpoint sent many small events at once, or one event in many small parts, all requests of the entry VM stood still; for 1 MiB of 3-byte events the loop was blocked for 4.7 s and the lease was lost.

Cause: the front removed each event from the front of the buffer by itself, and both interfaces searched the whole incomplete event again at each part.

Evidence: test/response_framing_test.cpp.

Change: all complete events are removed at once, and the search goes on where the last one ended.

--- a/src/engine.cpp
+++ b/src/engine.cpp
@@ -99,9 +99,11 @@
 
 auto event_reader::feed(std::string_view bytes) -> std::vector<engine_event> {
   std::vector<engine_event> events;
+  // What was pending contains no end of an event.
+  const auto searched = pending_.empty() ? 0 : pending_.size() - 1;
   pending_ += bytes;
   std::size_t start = 0;
-  for (auto end = pending_.find("\n\n"); end != std::string::npos;
+  for (auto end = pending_.find("\n\n", searched); end != std::string::npos;
        end = pending_.find("\n\n", start)) {
     const auto line = std::string_view(pending_).substr(start, end - start);
     if (line.substr(0, 6) == "data: ")
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -203,22 +203,28 @@
   if (answers_other_request())
     return fail_attempt({"answer.head", stages_.front().endpoint->id,
                          "the answer is for another request"});
+  const auto searched = partial_event_.size();
   partial_event_ += bytes;
   if (partial_event_.size() > max_event_bytes)
     return fail_attempt(
         {"answer.event", stages_.front().endpoint->id, "an event is too long"});
-  forward_complete_events();
+  forward_complete_events(searched);
 }
 
 /// Forwards complete events. An interrupted event is generated again by the
-/// endpoint that resumes the stream.
-auto front_request::forward_complete_events() -> void {
+/// endpoint that resumes the stream. The first `searched` bytes contain no end
+/// of an event.
+auto front_request::forward_complete_events(std::size_t searched) -> void {
   std::string complete_events;
   auto gap = false;
-  for (auto end = partial_event_.find("\n\n"); !gap && end != std::string::npos;
-       end = partial_event_.find("\n\n")) {
-    const auto event = partial_event_.substr(0, end + 2);
-    partial_event_.erase(0, end + 2);
+  std::size_t begin = 0;
+  const auto from = searched == 0 ? 0 : searched - 1;
+  for (auto end = partial_event_.find("\n\n", from);
+       !gap && end != std::string::npos;
+       end = partial_event_.find("\n\n", begin)) {
+    const auto event =
+        std::string_view(partial_event_).substr(begin, end + 2 - begin);
+    begin = end + 2;
     const auto id = platform::parse_event_id(event);
     if (id && last_event_id_ && *id <= *last_event_id_) continue;
     gap = id && last_event_id_ && *id > *last_event_id_ + 1;
@@ -227,6 +233,7 @@
     ++events_forwarded_;
     complete_events += event;
   }
+  partial_event_.erase(0, begin);
   if (!complete_events.empty()) forward(complete_events);
   if (gap && dispatch_active_)
     fail_attempt(
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -93,7 +93,7 @@
                       const http_headers& headers) -> void;
   auto handle_data(std::size_t attempt, std::string_view bytes) -> void;
   auto answers_other_request() const -> bool;
-  auto forward_complete_events() -> void;
+  auto forward_complete_events(std::size_t searched) -> void;
   auto forward(const std::string& events) -> void;
   auto handle_done(std::size_t attempt, const call_result& result,
                    std::string_view body) -> void;
--- a/test/response_framing_test.cpp
+++ b/test/response_framing_test.cpp
@@ -7,6 +7,7 @@
 
 #include "entry_server.hpp"
 #include "front_server.hpp"
+#include "pollenloft/engine.hpp"
 #include "property.hpp"
 
 namespace pollenloft::test {
@@ -168,6 +169,7 @@
   CPPUNIT_TEST(endless_chunk_is_read_to_the_timeout);
   CPPUNIT_TEST(long_stream_exceeds_the_limit);
   CPPUNIT_TEST(large_response_exceeds_the_limit);
+  CPPUNIT_TEST(event_in_small_parts_blocks_the_loop);
   CPPUNIT_TEST_SUITE_END();
 
  protected:
@@ -401,6 +403,15 @@
     CPPUNIT_ASSERT_EQUAL(200, status());
     CPPUNIT_ASSERT_EQUAL(body.size(), body_.size());
   }
+
+  auto event_in_small_parts_blocks_the_loop() -> void {
+    event_reader reader;
+    const auto start = boottime_clock::now();
+    for (std::size_t size = 0; size < mebibyte; size += 4)
+      CPPUNIT_ASSERT(reader.feed("data").empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reader.feed("data").size());
+    CPPUNIT_ASSERT(boottime_clock::now() - start < std::chrono::seconds(1));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(response_framing_test);
@@ -479,6 +490,7 @@
   CPPUNIT_TEST(endless_event_holds_the_caller_to_the_timeout);
   CPPUNIT_TEST(endless_error_of_a_stream_holds_the_caller_to_the_timeout);
   CPPUNIT_TEST(events_of_another_request_reach_the_caller);
+  CPPUNIT_TEST(tiny_events_block_the_loop);
   CPPUNIT_TEST_SUITE_END();
 
   std::unique_ptr<event_loop> loop_;
@@ -700,6 +712,17 @@
         200, call("/resumable/", {{other}, {head + "\r\n" + event(1)}}));
     CPPUNIT_ASSERT_EQUAL(event(1), body_);
   }
+
+  auto tiny_events_block_the_loop() -> void {
+    std::string body;
+    while (body.size() < mebibyte * 9 / 10)
+      body += ":\n\n";
+    const auto start = boottime_clock::now();
+    CPPUNIT_ASSERT_EQUAL(
+        200, call("/single/", {{chunked_head + chunk(body) + "0\r\n\r\n"}}));
+    CPPUNIT_ASSERT_EQUAL(body.size(), body_.size());
+    CPPUNIT_ASSERT(boottime_clock::now() - start < std::chrono::seconds(1));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(entry_framing_test);
