--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -1,5 +1,6 @@
 #include "front_request.hpp"
 
+#include "pollenloft/engine.hpp"
 #include "pollenloft/poison.hpp"
 
 namespace pollenloft {
@@ -19,7 +20,6 @@
 constexpr auto min_response_timeout = milliseconds(300);
 /// A stream is aborted when its caller leaves more bytes than this unread.
 constexpr std::size_t max_unread_bytes = 1024 * 1024;
-constexpr std::size_t max_event_bytes = 1024 * 1024;
 /// Callers abandon a stream that pauses for 2 s. Detecting the failure and
 /// prefilling the tokens on the new stages use up the rest of that time.
 constexpr auto repair_timeout = milliseconds(900);
@@ -140,6 +140,7 @@
   call.body = request.body;
   call.timeout = time_left() + std::chrono::seconds(1);
   call.connect_timeout = connect_timeout;
+  call.limits = is_stream() ? stream_limits : plain_response_limits;
   return call;
 }
 
@@ -192,25 +193,39 @@
   response_head_ = platform::decode_response_head(status, headers);
 }
 
+auto front_request::answers_other_request() const -> bool {
+  return !response_head_.request_id.empty() &&
+         response_head_.request_id != params_.headers.request_id;
+}
+
 auto front_request::handle_data(std::size_t attempt, std::string_view bytes)
     -> void {
   if (attempt != lifecycle_.attempt() || !dispatch_active_) return;
+  if (answers_other_request())
+    return fail_attempt({"answer.head", stages_.front().endpoint->id,
+                         "the answer is for another request"});
+  const auto searched = partial_event_.size();
   partial_event_ += bytes;
   if (partial_event_.size() > max_event_bytes)
     return fail_attempt(
         {"answer.event", stages_.front().endpoint->id, "an event is too long"});
-  forward_complete_events();
+  forward_complete_events(searched);
 }
 
 /// Forwards complete events. An interrupted event is generated again by the
-/// endpoint that resumes the stream.
-auto front_request::forward_complete_events() -> void {
+/// endpoint that resumes the stream. The first `searched` bytes contain no end
+/// of an event.
+auto front_request::forward_complete_events(std::size_t searched) -> void {
   std::string complete_events;
   auto gap = false;
-  for (auto end = partial_event_.find("\n\n"); !gap && end != std::string::npos;
-       end = partial_event_.find("\n\n")) {
-    const auto event = partial_event_.substr(0, end + 2);
-    partial_event_.erase(0, end + 2);
+  std::size_t begin = 0;
+  const auto from = searched == 0 ? 0 : searched - 1;
+  for (auto end = partial_event_.find("\n\n", from);
+       !gap && end != std::string::npos;
+       end = partial_event_.find("\n\n", begin)) {
+    const auto event =
+        std::string_view(partial_event_).substr(begin, end + 2 - begin);
+    begin = end + 2;
     const auto id = platform::parse_event_id(event);
     if (id && last_event_id_ && *id <= *last_event_id_) continue;
     gap = id && last_event_id_ && *id > *last_event_id_ + 1;
@@ -219,6 +234,7 @@
     ++events_forwarded_;
     complete_events += event;
   }
+  partial_event_.erase(0, begin);
   if (events_forwarded_ >= attempt_first_event_ + survival_events)
     record_part_survival();
   if (!complete_events.empty()) forward(complete_events);
@@ -258,9 +274,7 @@
 }
 
 auto front_request::handle_response(std::string_view body) -> void {
-  const auto& expected_id = params_.headers.request_id;
-  if (!response_head_.request_id.empty() &&
-      response_head_.request_id != expected_id)
+  if (answers_other_request())
     return fail_attempt({"answer.head", stages_.front().endpoint->id,
                          "the answer is for another request"});
   if (response_head_.not_run) return handle_refusal();
--- a/src/net.cpp
+++ b/src/net.cpp
@@ -25,6 +25,9 @@
 
 namespace {
 
+constexpr int continue_status = 100;
+constexpr int max_status = 599;
+
 auto to_timeval(duration d) -> timeval {
   const auto us = std::chrono::duration_cast<std::chrono::microseconds>(d);
   return {us.count() / 1000000, us.count() % 1000000};
@@ -76,6 +79,28 @@
   return EVHTTP_REQ_OPTIONS;
 }
 
+/// Whether all length fields are the same, and the transfer coding is one that
+/// evhttp decodes.
+auto framing_is_known(const http_headers& headers) -> bool {
+  const auto length = headers.find("Content-Length");
+  const auto& fields = headers.fields();
+  return std::all_of(fields.begin(), fields.end(), [&](const auto& field) {
+    const auto* name = field.first.c_str();
+    if (strcasecmp(name, "Content-Length") == 0) return field.second == *length;
+    return strcasecmp(name, "Transfer-Encoding") != 0 ||
+           strcasecmp(field.second.c_str(), "chunked") == 0;
+  });
+}
+
+/// Whether the body of this response ends with its connection.
+auto ends_with_connection(evhttp_request* response, const http_headers& headers)
+    -> bool {
+  const auto status = evhttp_request_get_response_code(response);
+  return status != HTTP_NOCONTENT && status != HTTP_NOTMODIFIED &&
+         evhttp_request_get_command(response) != EVHTTP_REQ_HEAD &&
+         !headers.find("Content-Length") && !headers.find("Transfer-Encoding");
+}
+
 }  // namespace
 
 struct timer::impl {
@@ -631,8 +656,11 @@
   bool done = false;
   bool reusable = false;
   int status = 0;
-  std::string error_body;      // body of a response with another status
-  std::shared_ptr<impl> self;  // keeps the state alive until released
+  std::string error_body;  // body of a response with another status
+  response_limits limits;
+  evbuffer_cb_entry* input_watch = nullptr;
+  const char* rejection = nullptr;  // of the response, by this client
+  std::shared_ptr<impl> self;       // keeps the state alive until released
   sigc::slot<void(evhttp_connection*)> return_to_pool;
 
   explicit impl(event_loop& loop) : loop(loop) {}
@@ -643,6 +671,7 @@
     done = true;
     timeout_timer = timer();
     connect_timer = timer();
+    evbuffer_remove_cb_entry(input(), input_watch);
     // evhttp still uses the connection while its callback runs.
     loop.post([state = std::move(self), keep_connection] {
       if (keep_connection)
@@ -680,11 +709,42 @@
                        &size) == 0;
   }
 
+  auto input() const -> evbuffer* {
+    return bufferevent_get_input(evhttp_connection_get_bufferevent(connection));
+  }
+
   /// Bytes of the response body that have arrived so far.
   auto received_bytes() const -> std::size_t {
-    auto* stream = evhttp_connection_get_bufferevent(connection);
     return evbuffer_get_length(evhttp_request_get_input_buffer(request)) +
-           evbuffer_get_length(bufferevent_get_input(stream));
+           evbuffer_get_length(input());
+  }
+
+  /// evhttp limits the header and the sum of all chunks, but neither the line
+  /// that begins a chunk nor, in a stream of any length, a chunk.
+  auto apply_limits() -> void {
+    evhttp_connection_set_max_headers_size(
+        connection, static_cast<ev_ssize_t>(limits.header_bytes));
+    evhttp_connection_set_max_body_size(
+        connection,
+        handlers.on_data ? -1 : static_cast<ev_ssize_t>(limits.body_bytes));
+    input_watch = evbuffer_add_cb(input(), &on_input, this);
+  }
+
+  static auto on_input(evbuffer* buffer, const evbuffer_cb_info* change,
+                       void* arg) -> void {
+    auto* self = static_cast<impl*>(arg);
+    const auto limit = self->limits.header_bytes + self->limits.body_bytes;
+    if (change->n_added == 0 || evbuffer_get_length(buffer) <= limit) return;
+    // The bufferevent still reads.
+    self->loop.post([state = self->self] {
+      if (!state->done) state->interrupt_oversized();
+    });
+  }
+
+  auto interrupt_oversized() -> void {
+    failure = EVREQ_HTTP_DATA_TOO_LONG;
+    finish(call_interrupted{{step, peer, failure_text()}, received_bytes()}, {},
+           false);
   }
 
   auto on_timeout() -> void {
@@ -704,11 +764,30 @@
   static auto on_header(evhttp_request* handle, void* arg) -> int {
     auto* self = static_cast<impl*>(arg);
     if (self->done) return 0;
-    self->status = evhttp_request_get_response_code(handle);
-    if (self->handlers.on_headers)
-      self->handlers.on_headers(
-          self->status, read_headers(evhttp_request_get_input_headers(handle)));
-    return 0;
+    return self->handle_header(handle) ? 0 : -1;
+  }
+
+  auto handle_header(evhttp_request* handle) -> bool {
+    auto* fields = evhttp_request_get_input_headers(handle);
+    status = evhttp_request_get_response_code(handle);
+    // evhttp reads the final response into the same fields.
+    if (status == continue_status) {
+      evhttp_clear_headers(fields);
+      return true;
+    }
+    const auto headers = read_headers(fields);
+    if (status < HTTP_OK || status > max_status || !framing_is_known(headers)) {
+      rejection = "invalid response";
+      return false;
+    }
+    // With any other Connection field, evhttp expects no body.
+    if (ends_with_connection(handle, headers)) {
+      while (evhttp_remove_header(fields, "Connection") == 0) {
+      }
+      evhttp_add_header(fields, "Connection", "close");
+    }
+    if (handlers.on_headers) handlers.on_headers(status, headers);
+    return true;
   }
 
   static auto on_chunk(evhttp_request* handle, void* arg) -> void {
@@ -718,6 +797,8 @@
     self->status = evhttp_request_get_response_code(handle);
     if (self->status != HTTP_OK) {
       self->error_body += data;
+      if (self->error_body.size() > self->limits.body_bytes)
+        self->interrupt_oversized();
       return;
     }
     auto state = self->self;
@@ -742,6 +823,7 @@
   }
 
   auto failure_text() const -> std::string {
+    if (rejection != nullptr) return rejection;
     switch (failure) {
       case EVREQ_HTTP_TIMEOUT:
         return "timed out";
@@ -750,7 +832,7 @@
       case EVREQ_HTTP_INVALID_HEADER:
         return "invalid header";
       case EVREQ_HTTP_DATA_TOO_LONG:
-        return "answer too long";
+        return "response too long";
       default:
         return "connection failed";
     }
@@ -832,6 +914,8 @@
                                   impl_.get());
   };
   evhttp_connection_set_retries(state->connection, 0);
+  state->limits = call.limits;
+  state->apply_limits();
 
   auto* raw = state.get();
   auto* handle = evhttp_request_new(&pending_call::impl::on_complete, raw);
