Count a survived part only for answers that were written

A 4xx or a stream without events took the record of a part back, and a request that had survived its own parts could be stopped by a record of them when its runner crashed, so that a sound stream lost its rest. Found by a reviewer by reading; only responses with status 200 that wrote something count now, and a request whose prompt was survived is judged by its own fingerprint only. Not shown failing before.

--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -291,7 +291,8 @@
   // An endpoint that answers with an error may not have run the request.
   if (!failed) {
     host_.crashes().record_survival(params_.fingerprint);
-    record_part_survival();
+    const auto wrote = !is_stream() || events_forwarded_ > attempt_first_event_;
+    if (response_.status == 200 && wrote) record_part_survival();
   }
   release_slots(dispatch_result::served, "");
   step(request_event::completed);
@@ -402,6 +403,7 @@
 
 auto front_request::record_part_survival() -> void {
   if (std::exchange(parts_survived_, true)) return;
+  prompt_survived_ = true;
   host_.crashes().record_part_survivals(params_.parts);
 }
 
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -111,6 +111,7 @@
   /// Whether crashes recorded since its admission forbid to run the request.
   auto stopped_by_crashes() const -> bool;
   auto features() const -> crash_features {
+    if (prompt_survived_) return {params_.fingerprint, {}};
     return {params_.fingerprint, params_.parts};
   }
   /// Records once an attempt that its endpoints have survived the prompt.
@@ -164,6 +165,7 @@
   std::optional<std::int64_t> last_event_id_;
   std::size_t events_forwarded_ = 0;
   bool parts_survived_ = false;          // in this attempt
+  bool prompt_survived_ = false;         // in any attempt
   std::size_t attempt_first_event_ = 0;  // `events_forwarded_` at its start
   std::string end_reason_;
   std::optional<int> refusal_status_;
