Log and count the request limits that endpoints name

VMs now log limit.named, limit.altered, limit.lifted and limit.unreadable with the age of the request, and count what they send to endpoints that have named one. No request is handled differently.

A statement is ordered by the times of its request and its response, since responses overtake each other; only a success without the header lifts a limit.

--- a/include/pollenloft/engine.hpp
+++ b/include/pollenloft/engine.hpp
@@ -18,6 +18,9 @@
 /// Response header of an endpoint. The value `no` on status 503 says that no
 /// part of the request ran.
 constexpr auto engine_began_header = "Engine-Began";
+/// Response header of an endpoint: requests per second that it takes from all
+/// VMs together, a decimal number.
+constexpr auto engine_limit_header = "Engine-Request-Limit";
 
 /// A dispatch of a model request to the head (first stage) of a chain.
 struct generate_call {
--- a/include/pollenloft/net.hpp
+++ b/include/pollenloft/net.hpp
@@ -108,6 +108,8 @@
   auto add(std::string name, std::string value) -> http_headers&;
   /// The value of the first field with this name.
   auto find(std::string_view name) const -> std::optional<std::string>;
+  /// The values of all fields with this name.
+  auto find_all(std::string_view name) const -> std::vector<std::string>;
   auto fields() const
       -> const std::vector<std::pair<std::string, std::string>>& {
     return fields_;
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -243,6 +243,8 @@
   host_.routes().dispatch_started(stages_, poison_suspect_, 0,
                                   boottime_clock::now());
   dispatch_active_ = true;
+  dispatched_at_ = boottime_clock::now();
+  host_.count_limited_dispatch(*stages_.front().endpoint);
   response_complete_ = false;
   attempt_first_token_ = tokens_;
   reader_ = event_reader(host_.disabled_mechanism() == "tags"
@@ -276,7 +278,10 @@
   const auto attempt = lifecycle_.attempt();
   auto weak_self = weak_from_this();
   pending_call_ = host_.client().send(
-      request, {{},
+      request, {[weak_self, attempt](int status, const auto& headers) {
+                  if (auto self = weak_self.lock())
+                    self->observe_limit(attempt, status, headers);
+                },
                 [weak_self, attempt](auto bytes) {
                   if (auto self = weak_self.lock())
                     self->handle_engine_data(attempt, bytes);
@@ -288,6 +293,15 @@
   arm_stall_timer();
 }
 
+auto caller_request::observe_limit(std::size_t attempt, int status,
+                                   const http_headers& headers) -> void {
+  if (attempt != lifecycle_.attempt() || !dispatch_active_) return;
+  host_.control().observe_limit(
+      *stages_.front().endpoint, status,
+      parse_request_limit(headers.find_all(engine_limit_header)),
+      dispatched_at_);
+}
+
 auto caller_request::handle_engine_data(std::size_t attempt,
                                         std::string_view bytes) -> void {
   // Drops late events of an earlier attempt.
@@ -429,6 +443,7 @@
       {[weak_self, attempt](int status, const auto& headers) {
          auto self = weak_self.lock();
          if (!self || attempt != self->lifecycle_.attempt()) return;
+         self->observe_limit(attempt, status, headers);
          self->plain_status_ = status;
          self->plain_content_type_ = headers.find("Content-Type").value_or("");
          if (status == 503 && headers.find(engine_began_header) == "no")
--- a/src/caller_request.hpp
+++ b/src/caller_request.hpp
@@ -23,7 +23,6 @@
 /// The part of an entry VM that a request uses.
 class request_host : public dispatch_host<caller_request> {
  public:
-  virtual auto control() -> control_client& = 0;
   virtual auto request_chart() const -> const chart& = 0;
   virtual auto budget() -> retry_budget& = 0;
   /// The mechanism that a check has disabled with `--switch-off`; empty in
@@ -89,6 +88,8 @@
 
   auto dispatch_model() -> void;
   auto dispatch_plain() -> void;
+  auto observe_limit(std::size_t attempt, int status,
+                     const http_headers& headers) -> void;
   auto handle_engine_data(std::size_t attempt, std::string_view bytes) -> void;
   auto handle_token(const token_event& token) -> void;
   auto handle_end(const end_event& end) -> void;
@@ -127,6 +128,7 @@
   timer poison_delay_timer_;
   pending_call_ptr pending_call_;
   chain stages_;
+  instant dispatched_at_{};
   bool dispatch_active_ = false;
   bool poison_suspect_ = false;
   bool response_complete_ = false;  // the engine has sent an end event
--- a/src/control_client.cpp
+++ b/src/control_client.cpp
@@ -180,6 +180,30 @@
     report_crash(survival);
 }
 
+auto control_client::observe_limit(const endpoint_view& endpoint, int status,
+                                   const limit_field& field, instant asked)
+    -> void {
+  if (const auto* unreadable = std::get_if<unreadable_request_limit>(&field))
+    return log_event(log_level::warning, "limit.unreadable",
+                     {{"endpoint", endpoint.id}, {"value", unreadable->text}});
+  const auto* named = std::get_if<request_limit>(&field);
+  // A refusal or an error may come from a layer that knows of no limit.
+  if (named == nullptr && status / 100 != 2) return;
+  const auto now = boottime_clock::now();
+  const limit_statement statement{
+      endpoint.id, endpoint.incarnation,
+      named == nullptr ? std::nullopt : std::optional(named->per_second), asked,
+      now};
+  const auto change = limits_.update(statement);
+  if (change == limit_change::none) return;
+  log_event(log_level::info, limit_change_name(change),
+            {{"endpoint", endpoint.id},
+             {"incarnation", endpoint.incarnation},
+             {"per_second", statement.per_second.value_or(0)},
+             {"status", status},
+             {"asked_age_ms", whole_ms(now - asked)}});
+}
+
 auto control_client::add_replicas(const std::vector<socket_address>& replicas)
     -> void {
   for (const auto& replica : replicas) {
--- a/src/control_client.hpp
+++ b/src/control_client.hpp
@@ -12,7 +12,9 @@
 #include <vector>
 
 #include "pollenloft/control.hpp"
+#include "pollenloft/limit.hpp"
 #include "pollenloft/net.hpp"
+#include "pollenloft/route.hpp"
 #include "state_fetcher.hpp"
 
 namespace pollenloft {
@@ -76,6 +78,12 @@
   }
   /// Decides which requests may run; follows the leader's crash records.
   auto crashes() -> crash_guard& { return crash_guard_; }
+  /// The limits that endpoints have named to this VM.
+  auto limits() const -> const limit_register& { return limits_; }
+  /// Takes what a response with this status says of the limit of its endpoint.
+  /// `asked` is when the request was sent.
+  auto observe_limit(const endpoint_view& endpoint, int status,
+                     const limit_field& field, instant asked) -> void;
   auto set_usage_source(usage_source source) -> void {
     usage_source_ = std::move(source);
   }
@@ -165,6 +173,7 @@
   std::vector<wire::blame_command> crash_reports_;
   std::map<std::string, wire::account_usage> usage_;
   crash_guard crash_guard_;
+  limit_register limits_;
   posted_task crash_report_task_;
   std::int64_t suspects_digest_ = 0;  // of the records last received
   renewal_counters renewals_;
--- a/src/dispatch_host.hpp
+++ b/src/dispatch_host.hpp
@@ -5,6 +5,7 @@
 
 #include <memory>
 
+#include "control_client.hpp"
 #include "crash_monitor.hpp"
 #include "pollenloft/net.hpp"
 #include "pollenloft/route.hpp"
@@ -24,6 +25,7 @@
   virtual auto loop() -> event_loop& = 0;
   virtual auto client() -> http_client& = 0;
   virtual auto metrics_registry() -> metrics& = 0;
+  virtual auto control() -> control_client& = 0;
   virtual auto routes() -> router& = 0;
   virtual auto crashes() -> crash_monitor& = 0;
   /// Queues a request; `requeued` puts one that was dispatched before at the
@@ -35,6 +37,12 @@
   virtual auto slot_released(const request_ptr& request, double cost)
       -> void = 0;
   virtual auto request_ended(const request_ptr& request) -> void = 0;
+  /// Counts a request to an endpoint that has named a limit.
+  auto count_limited_dispatch(const endpoint_view& endpoint) -> void {
+    if (control().limits().find(endpoint.id) != nullptr)
+      metrics_registry().add("pollenloft_limited_requests_total",
+                             "endpoint=\"" + endpoint.id + "\"");
+  }
 };
 
 }  // namespace pollenloft
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -1,5 +1,7 @@
 #include "entry_server.hpp"
 
+#include <cmath>
+
 #include <nlohmann/json.hpp>
 
 #include "pollenloft/poison.hpp"
@@ -266,6 +268,9 @@
                renewals.received_bytes);
   set_renewals("pollenloft_renewal_bytes_total", "interrupted",
                renewals.interrupted_bytes);
+  for (const auto& [id, limit] : control_.limits().statements())
+    metrics_.set("pollenloft_request_limit_per_second",
+                 limit.per_second.value_or(NAN), "endpoint=\"" + id + "\"");
   metrics_.set("pollenloft_crash_suspects",
                static_cast<double>(crashes_.guard().size()));
   metrics_.set("pollenloft_ready", ready() ? 1 : 0);
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -161,6 +161,7 @@
   if (attempt == 1)
     host_.metrics_registry().observe("pollenloft_queue_seconds",
                                      boottime_clock::now() - params_.arrived);
+  host_.count_limited_dispatch(*stages_.front().endpoint);
   log_event(log_level::debug, "request.dispatched",
             {{"id", params_.headers.request_id},
              {"attempt", attempt},
@@ -191,6 +192,9 @@
   response_.status = status;
   response_.headers = platform::encode_response_headers(headers);
   response_head_ = platform::decode_response_head(status, headers);
+  if (!answers_other_request() && !response_head_.misdirected)
+    host_.control().observe_limit(*stages_.front().endpoint, status,
+                                  response_head_.limit, dispatched_at_);
 }
 
 auto front_request::answers_other_request() const -> bool {
--- a/src/front_server.hpp
+++ b/src/front_server.hpp
@@ -50,6 +50,7 @@
 
   auto loop() -> event_loop& override { return loop_; }
   auto client() -> http_client& override { return client_; }
+  auto control() -> control_client& override { return control_; }
   auto metrics_registry() -> metrics& override { return metrics_; }
   auto routes() -> router& override { return router_; }
   auto crashes() -> crash_monitor& override { return crashes_; }
--- a/src/net.cpp
+++ b/src/net.cpp
@@ -265,6 +265,16 @@
   return std::nullopt;
 }
 
+auto http_headers::find_all(std::string_view name) const
+    -> std::vector<std::string> {
+  std::vector<std::string> values;
+  for (const auto& [key, value] : fields_)
+    if (key.size() == name.size() &&
+        strncasecmp(key.data(), name.data(), name.size()) == 0)
+      values.push_back(value);
+  return values;
+}
+
 namespace {
 
 /// A caller's connection that has sent at least one request. evhttp can free
--- a/src/standin.cpp
+++ b/src/standin.cpp
@@ -88,6 +88,7 @@
   auto reply_ledger(const exchange_ptr& call) -> void {
     const json body{{"plain", ledger_.plain_runs},
                     {"model", ledger_.model_runs},
+                    {"arrivals", ledger_.arrivals},
                     {"tokens", ledger_.tokens},
                     {"after_leave", ledger_.after_leave}};
     call->reply(200, {}, body.dump());
--- a/src/standin_engine.cpp
+++ b/src/standin_engine.cpp
@@ -16,6 +16,8 @@
 constexpr auto crash_marker = "[crash]";
 /// Names the endpoint in calls of the platform's front.
 constexpr auto platform_endpoint_header = "Expect-Instance";
+constexpr auto platform_limit_header = "Server-Limit";
+constexpr auto own_limit_header = "Engine-Request-Limit";
 constexpr double bytes_per_token = 4;
 
 auto reply_json(const exchange_ptr& call, int status, const json& body,
@@ -74,6 +76,8 @@
     slowdown_ = factor;
   } else if (fault == "late") {
     response_delay_ = milliseconds(static_cast<std::int64_t>(factor));
+  } else if (fault == "limit") {
+    request_limit_ = factor;
   } else if (fault == "cross") {
     swap_events_ = factor != 0;
   } else if (fault == "leave") {
@@ -191,7 +195,13 @@
 
 // --- model requests ---------------------------------------------------------
 
+auto engine::add_limit(http_headers& headers, const char* name) const -> void {
+  if (request_limit_ < 0) return;
+  headers.add(name, std::to_string(request_limit_));
+}
+
 auto engine::handle_request(const exchange_ptr& call) -> void {
+  ++context_.ledger.arrivals[spec_.id];
   if (plain_) return handle_plain(call);
   if (call->request().path == "/v1/generate") return handle_generate(call);
   reply_json(call, 404, {{"error", "no such resource"}}, false);
@@ -259,6 +269,7 @@
   });
   http_headers headers;
   headers.add("Content-Type", "text/event-stream");
+  add_limit(headers, own_limit_header);
   call->start(200, headers);
   if (work->next_token >= work->max_tokens) {
     send_event(work, end_event(*work));
@@ -445,11 +456,13 @@
       request.headers.find("Idempotency-Key").value_or(request.body);
   ++plain_running_;
   ++context_.ledger.plain_runs[key];
+  const auto on_front =
+      request.headers.find(platform_endpoint_header).has_value();
   const auto crashes = request.body.find(crash_marker) != std::string::npos;
   const auto incarnation = incarnation_;
   run_later(
       context_.loop, latency_ + response_delay_,
-      [this, call, key, crashes, incarnation] {
+      [this, call, key, crashes, incarnation, on_front] {
         if (!running_ || incarnation != incarnation_) return call->abort();
         if (frozen_) return;
         if (crashes) {
@@ -459,6 +472,7 @@
         --plain_running_;
         http_headers headers;
         headers.add("Content-Type", "application/json");
+        add_limit(headers, on_front ? platform_limit_header : own_limit_header);
         call->reply(200, headers, json{{"done", key}, {"by", spec_.id}}.dump());
       });
 }
--- a/src/standin_engine.hpp
+++ b/src/standin_engine.hpp
@@ -47,6 +47,7 @@
 struct run_ledger {
   std::map<std::string, int> plain_runs;  ///< by Idempotency-Key, else by body
   std::map<std::string, int> model_runs;  ///< sequences started, by prompt
+  std::map<std::string, int> arrivals;    ///< requests, by endpoint
   std::uint64_t tokens = 0;               ///< generated, all sequences
   std::uint64_t after_leave = 0;  ///< sequences started more than 2 s after the
                                   ///< engine announced that it leaves
@@ -75,7 +76,8 @@
   /// Injects a fault: `crash`, `restart`, `freeze`, `thaw`, `leave`, `slow`
   /// (steps take `factor` times as long), `late` (answers are delayed by
   /// `factor` ms), `cross` (events of different streams are swapped; 0 turns it
-  /// off). False if the fault is unknown.
+  /// off), `limit` (answers name a limit of `factor` requests per second; a
+  /// negative one turns it off). False if the fault is unknown.
   auto inject_fault(const std::string& fault, double factor) -> bool;
   auto id() const -> const std::string& { return spec_.id; }
 
@@ -89,6 +91,7 @@
   };
 
   auto handle_request(const exchange_ptr& call) -> void;
+  auto add_limit(http_headers& headers, const char* name) const -> void;
   auto handle_generate(const exchange_ptr& call) -> void;
   auto handle_plain(const exchange_ptr& call) -> void;
   /// Endpoint id and reason if a stage cannot run the sequence.
@@ -129,6 +132,7 @@
   double slowdown_ = 1;
   milliseconds response_delay_{0};
   bool swap_events_ = false;
+  double request_limit_ = -1;   // named in answers if it is not negative
   std::string deferred_event_;  // waits to be swapped with another stream
   sequence_ptr deferred_sequence_;
   std::deque<batch_item> queue_;
--- a/test/front_request_test.cpp
+++ b/test/front_request_test.cpp
@@ -18,6 +18,7 @@
   explicit test_host(event_loop& loop)
       : loop_(loop),
         client_(loop),
+        control_(loop, client_, {}),
         router_({}, 1),
         crashes_(loop, guard_, metrics_,
                  [this](const auto& report) { reports.push_back(report); }) {}
@@ -25,6 +26,7 @@
   auto loop() -> event_loop& override { return loop_; }
   auto client() -> http_client& override { return client_; }
   auto metrics_registry() -> metrics& override { return metrics_; }
+  auto control() -> control_client& override { return control_; }
   auto routes() -> router& override { return router_; }
   auto crashes() -> crash_monitor& override { return crashes_; }
   auto draining() const -> bool override { return false; }
@@ -55,6 +57,7 @@
  private:
   event_loop& loop_;
   http_client client_;
+  control_client control_;
   router router_;
   metrics metrics_;
   crash_guard guard_{"1"};
