Send endpoints that limit their requests no more than the VMs share

Cause: nothing evaluated the limit.

Change: the leader issues permits for such an endpoint at the stated rate (permit_issuer) and a VM sends one request for each (request_limiter). The gate is in the router, so that first tries, retries, resumes, repairs of chains (new stages) and trials of both interfaces pass it. The directory tells VMs of limits that others were told. Permits last 1 s; unused ones go back. While no leader replies, a VM issues itself an even part of the limit at random times, so that parts below one add up.

Ruled out: even parts with a bucket each (79 VMs may spend one each in a second against 36 allowed in 4 s), and a fixed subset of VMs for each endpoint (its limit is unused where their callers don't ask for it).

--- a/include/pollenloft/control.hpp
+++ b/include/pollenloft/control.hpp
@@ -220,6 +220,11 @@
   /// Sets whether the leader considers a runner unreachable; false if the
   /// runner is unknown or that is unchanged.
   auto set_unreachable(const std::string& id, bool unreachable) -> bool;
+  /// Sets the number of requests per 1,000 seconds that an endpoint takes from
+  /// all VMs together, 0 for no limit; false if the endpoint is unknown or that
+  /// is unchanged.
+  auto set_request_limit(const std::string& id, std::int64_t per_1000_seconds)
+      -> bool;
   /// Sets whether an endpoint's heartbeats are overdue; false if the endpoint
   /// is unknown or that is unchanged.
   auto set_heartbeats_overdue(const std::string& id, bool overdue) -> bool;
--- a/include/pollenloft/route.hpp
+++ b/include/pollenloft/route.hpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "pollenloft/core.hpp"
+#include "pollenloft/limit.hpp"
 
 namespace pollenloft {
 
@@ -114,6 +115,7 @@
   int backing_off = 0;   ///< refused a request recently
   int kv_full = 0;       ///< KV cache is full
   int no_free_slot = 0;  ///< this VM uses all of its slots there
+  int no_permit = 0;     ///< limits its requests; this VM has no permit
   int avoided = 0;       ///< excluded by this request
 };
 
@@ -130,13 +132,17 @@
   auto remove(const std::string& id) -> void;
   /// Number of VMs that share the endpoints' slots, including this one.
   auto set_vm_count(std::size_t vms) -> void;
+  /// Permits for endpoints that limit their requests. `limiter` must outlive
+  /// the router.
+  auto set_limiter(request_limiter& limiter) -> void;
   /// This VM's share of the bandwidth between zones, in MB/s. All activations
   /// share these links, so cross-zone chains are kept for layer ranges that no
   /// zone holds completely.
   auto set_cross_zone_rate(double mb_per_s) -> void;
 
   /// A chain over layers [0, `request.layers`) with a free slot on every
-  /// stage; empty, see `last_error`, if there is none.
+  /// stage; empty, see `last_error`, if there is none. Uses a permit of each
+  /// stage that limits its requests.
   auto choose(const chain_request& request, instant now)
       -> std::optional<chain>;
   /// Like `choose`, but falls back on endpoints that the request avoids.
@@ -146,7 +152,7 @@
   auto shortages(const chain_request& request, instant now) const
       -> std::map<std::string, chain_shortage>;
   /// The chain with other endpoints in place of `failed_endpoint`; empty if
-  /// no endpoint can take over its layer range.
+  /// no endpoint can take over its layer range. Uses permits of new stages.
   auto replace_stage(const chain& stages, const std::string& failed_endpoint,
                      const chain_request& request, instant now)
       -> std::optional<chain>;
--- a/include/pollenloft/wire.hpp
+++ b/include/pollenloft/wire.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "pollenloft/limit.hpp"
 #include "pollenloft/replica.hpp"
 #include "pollenloft_types.h"
 
@@ -26,6 +27,12 @@
 /// Converts back. Empty for an unknown message kind, see `last_error`.
 auto from_wire(wire::replica_message message) -> std::optional<replica_message>;
 
+/// Times travel as ages, which end at `now`.
+auto to_wire(const limit_statement& statement, instant now)
+    -> wire::limit_record;
+auto from_wire(const wire::limit_record& record, instant now)
+    -> limit_statement;
+
 }  // namespace pollenloft
 
 #endif
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -424,6 +424,7 @@
   known.fill = report.fill;
   known.slowdown = report.slowdown;
   known.unreachable = report.unreachable;
+  known.request_limit = report.request_limit;
   known.noted = report.noted;
 }
 
@@ -555,6 +556,13 @@
                        [&](auto& record) { record.unreachable = unreachable; });
 }
 
+auto endpoint_directory::set_request_limit(const std::string& id,
+                                           std::int64_t per_1000_seconds)
+    -> bool {
+  return update_status(
+      id, [&](auto& record) { record.request_limit = per_1000_seconds; });
+}
+
 auto endpoint_directory::set_heartbeats_overdue(const std::string& id,
                                                 bool overdue) -> bool {
   return update(id, [&](auto& record) { record.silent = overdue; });
--- a/src/control_client.cpp
+++ b/src/control_client.cpp
@@ -10,6 +10,7 @@
 
 constexpr auto renew_timeout = milliseconds(700);
 constexpr auto call_timeout = milliseconds(700);
+constexpr auto permit_timeout = milliseconds(500);
 constexpr auto retry_delay = milliseconds(30);
 /// Between renewals while the configuration is being fetched.
 constexpr auto transfer_poll_delay = milliseconds(100);
@@ -24,6 +25,12 @@
   return std::chrono::duration_cast<milliseconds>(time).count();
 }
 
+auto per_second_of(std::int64_t per_1000_seconds) -> std::optional<double> {
+  constexpr double record_unit = 1000;
+  if (per_1000_seconds <= 0) return std::nullopt;
+  return static_cast<double>(per_1000_seconds) / record_unit;
+}
+
 /// Time since `start`; -1 if there is no start.
 auto elapsed_ms(std::optional<instant> start) -> std::int64_t {
   return start ? whole_ms(boottime_clock::now() - *start) : -1;
@@ -41,6 +48,7 @@
       config_fetcher_(loop, client, state_kind::configuration,
                       hash64(options_.vm)),
       crash_guard_(options_.vm),
+      limiter_(hash64(options_.vm, hash64(options_.incarnation))),
       crash_report_task_(loop, [this] { send_crash_reports(); }) {
   const auto replicas = [this]() -> const std::vector<socket_address>& {
     return options_.replicas;
@@ -161,6 +169,8 @@
   lease_until_ = sent + lease - lease / clock_drift_divisor;
   vm_count_ = static_cast<std::size_t>(reply->vm_count);
   directory_sequence_ = reply->directory_sequence;
+  limiter_.set_vm_count(vm_count_);
+  apply_limits(reply->endpoints);
   usage_.clear();
   for (const auto& usage : reply->usage)
     usage_[usage.account] = usage;
@@ -171,6 +181,70 @@
   renew();
 }
 
+auto control_client::apply_limits(
+    const std::vector<wire::endpoint_record>& records) -> void {
+  for (const auto& record : records) {
+    if (record.state == static_cast<std::int8_t>(endpoint_state::gone)) {
+      limiter_.forget(record.id);
+      continue;
+    }
+    const auto limit = per_second_of(record.request_limit);
+    const auto change = limiter_.announce(record.id, record.incarnation, limit);
+    if (change == limit_change::none) continue;
+    log_event(log_level::info, limit_change_name(change),
+              {{"endpoint", record.id},
+               {"incarnation", record.incarnation},
+               {"per_second", limit.value_or(0)},
+               {"source", "directory"}});
+  }
+}
+
+auto control_client::request_permits() -> void {
+  const auto now = boottime_clock::now();
+  const auto wants = limiter_.next_wants(now);
+  if (wants.empty()) return;
+  wire::permit_request request;
+  request.vm = options_.vm;
+  for (const auto& want : wants) {
+    wire::permit_want_record record;
+    record.limit = to_wire(want.statement, now);
+    record.wanted = want.wanted;
+    record.returned = want.returned;
+    request.wants.push_back(std::move(record));
+  }
+  client_.send(http_call{options_.replicas[target_],
+                         "POST",
+                         "/control/permits",
+                         {},
+                         encode_wire(request),
+                         permit_timeout,
+                         true},
+               {{}, {}, [this, now](const auto& result, auto body) {
+                  handle_permit_reply(now, result, body);
+                }});
+}
+
+auto control_client::handle_permit_reply(instant sent,
+                                         const call_result& result,
+                                         std::string_view body) -> void {
+  const auto now = boottime_clock::now();
+  const auto completed = std::holds_alternative<call_completed>(result);
+  const auto reply =
+      completed ? decode_wire<wire::permit_reply>(body) : std::nullopt;
+  if (!reply || !reply->accepted) {
+    log_event(log_level::info, "permits.unavailable",
+              {{"answered", completed ? 1 : 0},
+               {"elapsed_ms", whole_ms(now - sent)},
+               {"vm_count", vm_count_}});
+    return limiter_.on_failure(now);
+  }
+  std::vector<permit_grant> grants;
+  for (const auto& record : reply->grants)
+    grants.push_back({from_wire(record.limit, now), record.permits,
+                      milliseconds(record.retry_after_ms)});
+  if (limiter_.apply(grants, sent, now)) permits_granted.emit();
+}
+
 /// A leader that knows of the digest sends records only if it has changed.
 auto control_client::apply_suspects(const wire::renew_reply& reply) -> void {
   if (reply.suspects_digest == suspects_digest_ && reply.blames.empty()) return;
@@ -194,7 +268,7 @@
       endpoint.id, endpoint.incarnation,
       named == nullptr ? std::nullopt : std::optional(named->per_second), asked,
       now};
-  const auto change = limits_.update(statement);
+  const auto change = limiter_.observe(statement);
   if (change == limit_change::none) return;
   log_event(log_level::info, limit_change_name(change),
             {{"endpoint", endpoint.id},
--- a/src/control_client.hpp
+++ b/src/control_client.hpp
@@ -78,8 +78,10 @@
   }
   /// Decides which requests may run; follows the leader's crash records.
   auto crashes() -> crash_guard& { return crash_guard_; }
-  /// The limits that endpoints have named to this VM.
-  auto limits() const -> const limit_register& { return limits_; }
+  /// The permits of this VM for endpoints that limit their requests.
+  auto limiter() -> request_limiter& { return limiter_; }
+  /// Asks the leader for permits if some are wanted; called often.
+  auto request_permits() -> void;
   /// Takes what a response with this status says of the limit of its endpoint.
   /// `asked` is when the request was sent.
   auto observe_limit(const endpoint_view& endpoint, int status,
@@ -112,6 +114,7 @@
 
   sigc::signal<void()> config_changed;
   sigc::signal<void()> leader_changed;
+  sigc::signal<void()> permits_granted;
   sigc::signal<void()> document_changed;
   /// Emitted each time the document is confirmed as the latest.
   sigc::signal<void()> document_confirmed;
@@ -135,6 +138,9 @@
   auto record_announcement(std::int64_t number, instant sent) -> void;
   /// Sets when the document held was last known to be the newest.
   auto confirm_document() -> void;
+  auto apply_limits(const std::vector<wire::endpoint_record>& records) -> void;
+  auto handle_permit_reply(instant sent, const call_result& result,
+                           std::string_view body) -> void;
   auto apply_suspects(const wire::renew_reply& reply) -> void;
   auto send_crash_reports() -> void;
   auto add_reported_replicas(const wire::renew_reply& reply) -> void;
@@ -173,7 +179,7 @@
   std::vector<wire::blame_command> crash_reports_;
   std::map<std::string, wire::account_usage> usage_;
   crash_guard crash_guard_;
-  limit_register limits_;
+  request_limiter limiter_;
   posted_task crash_report_task_;
   std::int64_t suspects_digest_ = 0;  // of the records last received
   renewal_counters renewals_;
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -3,6 +3,7 @@
 /// configuration leases to entry VMs and keeps the endpoint directory.
 #include <signal.h>
 
+#include <cmath>
 #include <iostream>
 #include <nlohmann/json.hpp>
 
@@ -60,6 +61,10 @@
 /// Share of the link that bulk transfers may use; replication and heartbeats
 /// need the rest.
 constexpr double bulk_link_share = 0.5;
+/// Unit of `endpoint_record::request_limit`, per request a second.
+constexpr double limit_record_unit = 1000;
+/// Changes of a limit by less than 1/8 are not published.
+constexpr std::int64_t published_limit_divisor = 8;
 /// A tick that starts later than this after the previous one is logged.
 constexpr auto max_tick_delay = milliseconds(100);
 
@@ -554,6 +559,7 @@
       // Entry VMs send their endpoints again to a new leader. The platform's
       // endpoints report to any control VM, which shares them with all others.
       if (!gateway_) directory_.clear();
+      permit_issuer_.clear();
       placer_.start_term(static_cast<std::int64_t>(replica_.term()));
     }
     if (led) reject_pending();
@@ -800,6 +806,7 @@
     if (post && path == "/peer/directory") return handle_directory(call);
     if (post && path == "/control/renew") return handle_renewal(call);
     if (post && path == state_transfer_path) return handle_state_request(call);
+    if (post && path == "/control/permits") return handle_permits(call);
     if (post && path == "/control/report") return handle_report(call);
     if (post && path == "/control/claim") return handle_claim(call);
     if (post && path == "/control/settle") return handle_settle(call);
@@ -1082,6 +1089,55 @@
     reply_task_.schedule();
   }
 
+  auto handle_permits(const exchange_ptr& call) -> void {
+    const auto request = decode_body<wire::permit_request>(call);
+    if (!request) return;
+    wire::permit_reply reply;
+    reply.leader = leader_address();
+    reply.accepted = is_active_leader();
+    const auto now = boottime_clock::now();
+    for (const auto& record : request->wants) {
+      if (!reply.accepted) break;
+      const permit_want want{from_wire(record.limit, now), record.wanted,
+                             record.returned};
+      const auto grant = permit_issuer_.handle(request->vm, want, now);
+      wire::permit_grant_record granted;
+      granted.limit = to_wire(grant.statement, now);
+      granted.permits = grant.permits;
+      granted.retry_after_ms = grant.retry_after.count();
+      reply.grants.push_back(std::move(granted));
+      publish_limit(want.statement.endpoint);
+    }
+    wire_reply(call, reply);
+  }
+
+  /// Tells all VMs of a limit. Small changes concern only the leader, which
+  /// issues the permits.
+  auto publish_limit(const std::string& id) -> void {
+    const auto found = directory_.records().find(id);
+    if (found == directory_.records().end()) return;
+    const auto* latest = permit_issuer_.limits().find(id);
+    const auto limited = latest != nullptr && latest->per_second &&
+                         latest->incarnation == found->second.incarnation;
+    const auto limit =
+        limited ? std::max<std::int64_t>(
+                      1, std::llround(*latest->per_second * limit_record_unit))
+                : 0;
+    const auto published = found->second.request_limit;
+    const auto difference = std::abs(limit - published);
+    if (limit != 0 && published != 0 &&
+        difference <= published / published_limit_divisor)
+      return;
+    if (!directory_.set_request_limit(id, limit)) return;
+    log_event(log_level::info, "limit.published",
+              {{"endpoint", id},
+               {"per_second", static_cast<double>(limit) / limit_record_unit},
+               {"previous", static_cast<double>(published) / limit_record_unit},
+               {"vms", leases_.live_count(boottime_clock::now())}});
+    if (gateway_) gateway_->publish({id});
+    reply_task_.schedule();
+  }
+
   auto handle_claim(const exchange_ptr& call) -> void {
     auto claim = decode_body<wire::claim_record>(call);
     if (!claim) return;
@@ -1308,6 +1364,8 @@
                  static_cast<double>(state_.claim_count()));
     metrics_.set("pollenloft_crash_records",
                  static_cast<double>(state_.crashes().size()));
+    metrics_.set("pollenloft_request_permits_granted_total",
+                 static_cast<double>(permit_issuer_.granted()));
     metrics_.set("pollenloft_renewals_total", static_cast<double>(renewals_));
     metrics_.set("pollenloft_document_number",
                  static_cast<double>(state_.document().number));
@@ -1369,6 +1427,7 @@
   replica replica_;
   control_state state_;
   crash_inbox crash_inbox_;
+  permit_issuer permit_issuer_;
   std::vector<wire::blame_record> suspects_;  // as published
   std::int64_t suspects_digest_ = 0;
   instant suspects_published_at_{};
--- a/src/dispatch_host.hpp
+++ b/src/dispatch_host.hpp
@@ -39,7 +39,7 @@
   virtual auto request_ended(const request_ptr& request) -> void = 0;
   /// Counts a request to an endpoint that has named a limit.
   auto count_limited_dispatch(const endpoint_view& endpoint) -> void {
-    if (control().limits().find(endpoint.id) != nullptr)
+    if (control().limiter().limits().find(endpoint.id) != nullptr)
       metrics_registry().add("pollenloft_limited_requests_total",
                              "endpoint=\"" + endpoint.id + "\"");
   }
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -70,6 +70,8 @@
       [this](const auto& records, bool complete) {
         apply_endpoints(records, complete);
       });
+  router_.set_limiter(control_.limiter());
+  control_.permits_granted.connect([this] { dispatch_task_.schedule(); });
   control_.leader_changed.connect([this] {
     const auto owned = endpoint_owner_.records();
     if (!owned.empty()) control_.report(owned);
@@ -268,9 +270,16 @@
                renewals.received_bytes);
   set_renewals("pollenloft_renewal_bytes_total", "interrupted",
                renewals.interrupted_bytes);
-  for (const auto& [id, limit] : control_.limits().statements())
+  const auto& limiter = control_.limiter();
+  for (const auto& [id, limit] : limiter.limits().statements()) {
+    const auto label = "endpoint=\"" + id + "\"";
     metrics_.set("pollenloft_request_limit_per_second",
-                 limit.per_second.value_or(NAN), "endpoint=\"" + id + "\"");
+                 limit.per_second.value_or(NAN), label);
+    metrics_.set("pollenloft_request_permits",
+                 static_cast<double>(limiter.permits(id)), label);
+  }
+  metrics_.set("pollenloft_request_permits_used_total",
+               static_cast<double>(limiter.used()));
   metrics_.set("pollenloft_crash_suspects",
                static_cast<double>(crashes_.guard().size()));
   metrics_.set("pollenloft_ready", ready() ? 1 : 0);
@@ -441,6 +450,7 @@
   for (auto& [service, queue] : queues_)
     queue.refill_rate_limits(now);
   dispatch_queued();
+  control_.request_permits();
 }
 
 /// Usage of the heaviest accounts on this VM: the moving average of tokens per
--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -67,6 +67,8 @@
       queues_(options_.max_queued, options_.seed),
       dispatch_task_(loop_, [this] { dispatch_queued(); }),
       resume_task_(loop_, [this] { resume_deferred(); }) {
+  router_.set_limiter(control_.limiter());
+  control_.permits_granted.connect([this] { dispatch_task_.schedule(); });
   control_.document_changed.connect([this] { apply_document(); });
   control_.document_confirmed.connect([this] { handle_confirmation(); });
   // Even a complete directory only adds endpoints: a new leader may not know
@@ -452,6 +454,7 @@
                {"backing_off", shortage.backing_off},
                {"kv_full", shortage.kv_full},
                {"no_free_slot", shortage.no_free_slot},
+               {"no_permit", shortage.no_permit},
                {"avoided", shortage.avoided}});
 }
 
--- a/src/operator_views.cpp
+++ b/src/operator_views.cpp
@@ -56,6 +56,7 @@
          {"layers", {record.first_layer, record.last_layer}},
          {"owner", record.owner},
          {"unreachable", record.unreachable},
+         {"request_limit", static_cast<double>(record.request_limit) / 1000},
          {"state", states.at(static_cast<std::size_t>(record.state))}});
   return rows;
 }
--- a/src/route.cpp
+++ b/src/route.cpp
@@ -73,6 +73,7 @@
   route_options options;
   random_source random;
   std::size_t vms = 1;
+  request_limiter* limiter = nullptr;
   std::unordered_map<std::string, endpoint_ptr> by_id;
   std::map<std::string, endpoints_by_range> pipelines;
   std::map<std::string, duration> layer_time_by_kind;
@@ -212,11 +213,23 @@
     for (std::size_t i = 0;
          i < endpoints.size() && candidates.size() < max_candidates; ++i) {
       auto* entry = endpoints[(start + i) % endpoints.size()].get();
-      if (usable(*entry, request, now)) candidates.push_back(entry);
+      if (usable(*entry, request, now) && has_permit(*entry, now))
+        candidates.push_back(entry);
     }
     return candidates;
   }
 
+  auto has_permit(const endpoint_entry& entry, instant now) const -> bool {
+    return limiter == nullptr ||
+           limiter->admits(entry.view->id, entry.view->incarnation, now);
+  }
+
+  auto use_permits(const chain& stages) const -> void {
+    if (limiter == nullptr) return;
+    for (const auto& stage : stages)
+      limiter->take(stage.endpoint->id);
+  }
+
   auto extend(const partial_chain& head, endpoint_entry* entry,
               range_key layers, instant now) const -> partial_chain {
     auto longer = head;
@@ -381,6 +394,8 @@
       ++result.no_free_slot;
     else if (now < entry.backoff_until)
       ++result.backing_off;
+    else if (!has_permit(entry, now))
+      ++result.no_permit;
     else if (request.avoid != nullptr &&
              request.avoid->count(entry.view->id) != 0)
       ++result.avoided;
@@ -542,6 +557,10 @@
   impl_->vms = std::max<std::size_t>(1, vms);
 }
 
+auto router::set_limiter(request_limiter& limiter) -> void {
+  impl_->limiter = &limiter;
+}
+
 auto router::choose(const chain_request& request, instant now)
     -> std::optional<chain> {
   const auto ranges = impl_->pipelines.find(request.pipeline);
@@ -559,6 +578,7 @@
   if (!stages)
     return fail("route.choose", request.pipeline,
                 "no free chain over all layers");
+  impl_->use_permits(*stages);
   return stages;
 }
 
@@ -597,6 +617,7 @@
   auto narrowed = request;
   narrowed.avoid = &used;
   chain repaired;
+  chain added;
   for (const auto& stage : stages) {
     if (stage.endpoint->id != failed_endpoint) {
       repaired.push_back(stage);
@@ -605,11 +626,12 @@
     const auto replacement = impl_->best_chain_over(
         ranges->second, narrowed, {stage.from, stage.to}, now);
     if (!replacement) return std::nullopt;
-    for (const auto& [entry, layers] : replacement->stages)
-      repaired.push_back({entry->view, layers.first, layers.second});
+    added = impl_->to_chain(*replacement);
+    repaired.insert(repaired.end(), added.begin(), added.end());
   }
   if (!impl_->spend_cross_zone_credit(repaired, request.cross_zone_mb, now))
     return std::nullopt;
+  impl_->use_permits(added);
   return repaired;
 }
 
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -207,6 +207,8 @@
 POLLENLOFT_WIRE_MESSAGE(renew_reply)
 POLLENLOFT_WIRE_MESSAGE(state_request)
 POLLENLOFT_WIRE_MESSAGE(state_part)
+POLLENLOFT_WIRE_MESSAGE(permit_request)
+POLLENLOFT_WIRE_MESSAGE(permit_reply)
 POLLENLOFT_WIRE_MESSAGE(report_request)
 POLLENLOFT_WIRE_MESSAGE(report_reply)
 POLLENLOFT_WIRE_MESSAGE(claim_record)
@@ -222,4 +224,30 @@
 POLLENLOFT_WIRE_MESSAGE(message_part)
 POLLENLOFT_WIRE_MESSAGE(part_reply)
 
+auto to_wire(const limit_statement& statement, instant now)
+    -> wire::limit_record {
+  const auto age_us = [&](instant at) {
+    return std::chrono::duration_cast<std::chrono::microseconds>(now - at)
+        .count();
+  };
+  wire::limit_record record;
+  record.endpoint = statement.endpoint;
+  record.incarnation = statement.incarnation;
+  record.per_second = statement.per_second.value_or(-1);
+  record.asked_ago_us = age_us(statement.asked);
+  record.answered_ago_us = age_us(statement.answered);
+  return record;
+}
+
+auto from_wire(const wire::limit_record& record, instant now)
+    -> limit_statement {
+  limit_statement statement;
+  statement.endpoint = record.endpoint;
+  statement.incarnation = record.incarnation;
+  if (record.per_second >= 0) statement.per_second = record.per_second;
+  statement.asked = now - std::chrono::microseconds(record.asked_ago_us);
+  statement.answered = now - std::chrono::microseconds(record.answered_ago_us);
+  return statement;
+}
+
 }  // namespace pollenloft
--- a/support/pollenloft.thrift
+++ b/support/pollenloft.thrift
@@ -92,13 +92,15 @@
 // step time relative to the runner's kind, in percent. `fill` is the utilization
 // of the runner's KV cache, in percent. Layers, load and `unreachable` are set
 // by the leader; `noted`, its term and a counter, orders these updates.
+// `request_limit` is the number of requests per 1,000 seconds that the endpoint
+// takes from all VMs together, 0 if it has named no limit.
 struct endpoint_record {
   1: string id, 2: string incarnation, 3: string address, 4: string kind,
   5: string zone, 6: string pipeline, 7: i32 first_layer, 8: i32 last_layer,
   9: i32 slots, 10: i8 state, 11: string owner, 12: i64 sequence,
   13: bool fencing, 14: i32 token_us, 15: i64 report, 16: bool silent,
   17: i32 fill, 18: bool displaced, 19: i32 slowdown,
-  20: bool unreachable, 21: i64 noted
+  20: bool unreachable, 21: i64 noted, 22: i64 request_limit
 }
 
 // `cost` is the rate in tokens per second that an account used, `waiting` the
@@ -125,6 +127,24 @@
   17: i64 suspects_digest
 }
 
+// What a response said of the limit of its endpoint. `per_second` is negative if
+// it named none; the ages are those of its request and of its head.
+struct limit_record {
+  1: string endpoint, 2: string incarnation, 3: double per_second,
+  4: i64 asked_ago_us, 5: i64 answered_ago_us
+}
+// Permits for requests to endpoints that have named a limit.
+struct permit_want_record {
+  1: limit_record limit, 2: i32 wanted, 3: i32 returned
+}
+struct permit_request { 1: string vm, 2: list<permit_want_record> wants }
+struct permit_grant_record {
+  1: limit_record limit, 2: i32 permits, 3: i64 retry_after_ms
+}
+struct permit_reply {
+  1: bool accepted, 2: string leader, 3: list<permit_grant_record> grants
+}
+
 // A request for the part at `offset` of the frame with `digest` of a state text;
 // `base` and `base_digest` name the text that the VM holds.
 struct state_request {
