Refuse requests at once that only limits of endpoints hold up

What callers saw (by reading; the gate is new): a request whose endpoints all limit their requests waited half of its latency objective and was refused then, although its VM may ask for permits only later. It is refused at once now, not run, with that time as Retry-After. A request that may get a permit before it is overdue still waits.

The gate is part of the router's test whether an endpoint is usable, so that the report of a shortage sees it too. Cases of route_test show the gate for first tries, fallbacks, repairs, restarted endpoints; with the gate taken out of request_limiter 4 cases of limit_share_test and 6 of route_test fail.

--- a/include/pollenloft/limit.hpp
+++ b/include/pollenloft/limit.hpp
@@ -135,6 +135,9 @@
   /// for a permit.
   auto admits(const std::string& endpoint, const std::string& incarnation,
               instant now) -> bool;
+  /// When this VM may next ask for permits for the endpoint; in the past if it
+  /// may now.
+  auto next_ask(const std::string& endpoint) const -> instant;
   /// Uses a permit for a request that is sent; no effect without a limit.
   auto take(const std::string& endpoint) -> void;
 
--- a/include/pollenloft/route.hpp
+++ b/include/pollenloft/route.hpp
@@ -151,6 +151,10 @@
   /// Why `choose` found no chain, by availability zone.
   auto shortages(const chain_request& request, instant now) const
       -> std::map<std::string, chain_shortage>;
+  /// Time until this VM may ask for a permit again, if nothing but limits of
+  /// endpoints keeps `choose` from finding a chain; empty otherwise.
+  auto permit_wait(const chain_request& request, instant now) const
+      -> std::optional<duration>;
   /// The chain with other endpoints in place of `failed_endpoint`; empty if
   /// no endpoint can take over its layer range. Uses permits of new stages.
   auto replace_stage(const chain& stages, const std::string& failed_endpoint,
--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -370,6 +370,21 @@
     requests_.at(*evicted)->refuse(503, "the queue is full",
                                    default_retry_after);
   dispatch_queue(queue, boottime_clock::now());
+  refuse_without_permit(request);
+}
+
+/// Refuses at once what would only wait until it is overdue.
+auto front_server::refuse_without_permit(const front_request_ptr& request)
+    -> void {
+  if (!request->queued() || !request->no_earlier_run()) return;
+  const auto now = boottime_clock::now();
+  const auto wait = router_.permit_wait(request->make_chain_request(), now);
+  if (!wait || *wait <= wait_limit(*request->parameters().route)) return;
+  dequeue(request);
+  log_shortage(*request, now);
+  request->refuse(
+      503, "the endpoints take no more requests now",
+      std::max(default_retry_after, std::chrono::ceil<milliseconds>(*wait)));
 }
 
 auto front_server::dequeue(const front_request_ptr& request) -> void {
--- a/src/front_server.hpp
+++ b/src/front_server.hpp
@@ -101,6 +101,7 @@
   /// Logs why no chain was found for a request.
   auto log_shortage(const front_request& request, instant now) const -> void;
   auto refuse_overdue(instant now) -> void;
+  auto refuse_without_permit(const front_request_ptr& request) -> void;
   auto tick() -> void;
 
   struct deferred_call {
--- a/src/limit.cpp
+++ b/src/limit.cpp
@@ -277,6 +277,11 @@
   return false;
 }
 
+auto request_limiter::next_ask(const std::string& endpoint) const -> instant {
+  const auto held = purses_.find(endpoint);
+  return held == purses_.end() ? instant{} : held->second.ask_at;
+}
+
 auto request_limiter::take(const std::string& endpoint) -> void {
   const auto held = purses_.find(endpoint);
   if (held == purses_.end() || held->second.permits == 0) return;
--- a/src/route.cpp
+++ b/src/route.cpp
@@ -151,8 +151,9 @@
     // Poison suspects do not share an endpoint, so that a crash identifies the
     // request that causes it.
     if (request.poison_suspect && entry.poison_suspects > 0) return false;
-    return request.avoid == nullptr ||
-           request.avoid->count(entry.view->id) == 0;
+    if (request.avoid != nullptr && request.avoid->count(entry.view->id) != 0)
+      return false;
+    return has_permit(entry, now);
   }
 
   auto load(const endpoint_entry& entry, instant now) const -> double {
@@ -213,8 +214,7 @@
     for (std::size_t i = 0;
          i < endpoints.size() && candidates.size() < max_candidates; ++i) {
       auto* entry = endpoints[(start + i) % endpoints.size()].get();
-      if (usable(*entry, request, now) && has_permit(*entry, now))
-        candidates.push_back(entry);
+      if (usable(*entry, request, now)) candidates.push_back(entry);
     }
     return candidates;
   }
@@ -600,6 +600,30 @@
   return result;
 }
 
+auto router::permit_wait(const chain_request& request, instant now) const
+    -> std::optional<duration> {
+  const auto found = shortages(request, now);
+  const auto by_limits =
+      std::all_of(found.begin(), found.end(), [](const auto& zone) {
+        const auto& shortage = zone.second;
+        return shortage.no_permit + shortage.ejected == shortage.holders;
+      });
+  const auto limited =
+      std::any_of(found.begin(), found.end(),
+                  [](const auto& zone) { return zone.second.no_permit > 0; });
+  if (!by_limits || !limited) return std::nullopt;
+  std::optional<duration> shortest;
+  for (const auto& [held_range, endpoints] :
+       impl_->pipelines.at(request.pipeline))
+    for (const auto& entry : endpoints) {
+      if (impl_->has_permit(*entry, now)) continue;
+      const auto wait = std::max(
+          duration::zero(), impl_->limiter->next_ask(entry->view->id) - now);
+      shortest = std::min(shortest.value_or(wait), wait);
+    }
+  return shortest;
+}
+
 auto router::set_cross_zone_rate(double mb_per_s) -> void {
   impl_->cross_zone_rate = mb_per_s;
 }
