--- a/src/limit.cpp
+++ b/src/limit.cpp
@@ -29,6 +29,8 @@
 constexpr double max_wanted_s = 0.25;
 /// Time without a reply after which a VM uses its own part.
 constexpr auto leaderless_time = milliseconds(1000);
+/// Random times keep the sum on average only.
+constexpr double leaderless_share = 0.75;
 
 auto seconds(duration d) -> double {
   return std::chrono::duration<double>(d).count();
@@ -248,8 +250,8 @@
                                      instant now) -> void {
   const auto elapsed =
       std::min(1.0, seconds(now - std::exchange(held.own_part_at, now)));
-  const auto expected =
-      issue_rate(per_second) * elapsed / static_cast<double>(vms_);
+  const auto expected = leaderless_share * issue_rate(per_second) * elapsed /
+                        static_cast<double>(vms_);
   const auto whole = std::floor(expected);
   const auto extra = random_.unit() < expected - whole ? 1 : 0;
   held.permits = static_cast<int>(whole) + extra;
