--- a/src/cli.cpp
+++ b/src/cli.cpp
@@ -172,8 +172,9 @@
     if (verb == "config" && arguments.size() >= 2) return run_config(arguments);
     if (verb == "status") return print_status();
     if (verb == "endpoints")
-      return print_list("/v1/endpoints", {"id", "service", "kind", "zone",
-                                          "layers", "state", "owner"});
+      return print_list("/v1/endpoints",
+                        {"id", "service", "kind", "zone", "request_limit",
+                         "layers", "state", "owner"});
     if (verb == "services") return print_services();
     if (verb == "crashes" && arguments.size() == 1)
       return print_list("/v1/crashes", {"fingerprint", "account", "points",
