Log when a VM has lost its links to all endpoints

After a failed contact a VM now probes up to four other endpoints at once; if none accepts a connection it logs links.lost with the failed contacts, and links.regained once both of two probes are accepted. The gauge pollenloft_cut_off tells the same. No request is handled differently yet.

The verdict is a pure module (reach_detector): an endpoint that crashed, a third of them, the only one, or a sound one that is silent but accepts connections is no cut. Cases: reach_test (new code, not shown failing before).

--- a/src/entryd.cpp
+++ b/src/entryd.cpp
@@ -47,6 +47,8 @@
      "requests that may be queued for each service"},
     {"seed", "0", number_range{0, INT64_MAX},
      "random seed; 0 derives one from the clock"},
+    {"endpoint-host", "", any_text{},
+     "for checks only: host of forwarders that stand for the endpoints"},
     {"switch-off", "none",
      one_of{{"none", "lease", "claims", "resume", "tags", "blame", "drain"}},
      "for checks only: disables one mechanism, so that its check must fail"},
@@ -78,6 +80,7 @@
   options.retry_slack = values.decimal("retry-slack");
   options.document_apply_time = values.millis("document-apply-ms");
   options.drain_notice = values.millis("drain-notice-ms");
+  options.endpoint_host = values.text("endpoint-host");
   options.routing.zone = options.zone;
   options.routing.penalize_mismatch = false;
   options.routing.remote_zone_penalty = remote_zone_penalty;
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -362,6 +362,7 @@
 auto front_request::handle_unsent(const error& cause) -> void {
   const auto endpoint = stages_.front().endpoint->id;
   log_failure("endpoint.unreachable", cause);
+  host_.reach().contact_failed(endpoint);
   end_reason_ = "the endpoints are not reached";
   avoided_endpoints_.insert(endpoint);
   release_slots(dispatch_result::down, endpoint);
@@ -372,6 +373,7 @@
 /// when a later one does.
 auto front_request::handle_interruption(const error& cause) -> void {
   const auto stages = stages_;
+  host_.reach().contact_failed(stages.front().endpoint->id);
   end_failed_dispatch(cause);
   attribute_crash(stages, [this] { continue_after(request_event::broken); });
 }
@@ -563,6 +565,7 @@
 
 /// A dispatch stalls when any of its stages has crashed.
 auto front_request::handle_stall() -> void {
+  host_.reach().contact_failed(stages_.front().endpoint->id);
   attribute_crash(stages_, [this, events = events_forwarded_] {
     if (events == events_forwarded_) abandon_stalled_dispatch();
   });
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -17,6 +17,7 @@
 #include "pollenloft/net.hpp"
 #include "pollenloft/route.hpp"
 #include "pollenloft/telemetry.hpp"
+#include "reach_monitor.hpp"
 
 namespace pollenloft {
 
@@ -27,6 +28,7 @@
 class front_host : public dispatch_host<front_request> {
  public:
   virtual auto draining() const -> bool = 0;
+  virtual auto reach() -> reach_monitor& = 0;
 };
 
 /// Parameters of a request that are known before it is queued.
--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -63,6 +63,7 @@
       readiness_(loop_, http_limits{},
                  [this](const exchange_ptr& call) { handle_readiness(call); }),
       router_(options_.routing, options_.seed),
+      reach_(loop_, options_.seed),
       random_(options_.seed),
       queues_(options_.max_queued, options_.seed),
       dispatch_task_(loop_, [this] { dispatch_queued(); }),
@@ -327,11 +328,13 @@
   const auto up = record.state == static_cast<std::int8_t>(endpoint_state::up);
   auto view = to_endpoint_view(record);
   if (!up || !view || view->last_layer <= view->first_layer || !route_table_)
-    return router_.remove(record.id);
+    return remove_endpoint(record.id);
   const auto& services = route_table_->config().services;
   const auto service = services.find(record.pipeline);
   if (service == services.end() || record.displaced || record.unreachable)
-    return router_.remove(record.id);
+    return remove_endpoint(record.id);
+  if (!options_.endpoint_host.empty())
+    view->address.host = options_.endpoint_host;
   if (service->second.engine) {
     const auto& engine = *service->second.engine;
     const auto kind = engine.accelerators.find(record.kind);
@@ -344,9 +347,15 @@
         std::chrono::duration<double, std::milli>(engine.step_ms * step_factor /
                                                   engine.layers));
   }
+  reach_.add(view->id, view->address);
   router_.upsert(*view);
 }
 
+auto front_server::remove_endpoint(const std::string& id) -> void {
+  reach_.remove(id);
+  router_.remove(id);
+}
+
 // --- queues ------------------------------------------------------------------
 
 auto front_server::enqueue(const front_request_ptr& request, bool requeued)
@@ -491,6 +500,8 @@
 auto front_server::tick() -> void {
   const auto now = boottime_clock::now();
   update_cross_zone_rate();
+  reach_.tick();
+  metrics_.set("pollenloft_cut_off", reach_.cut_off() ? 1 : 0);
   refuse_expired_deferred(now);
   refuse_overdue(now);
   dispatch_queued();
--- a/src/front_server.hpp
+++ b/src/front_server.hpp
@@ -11,6 +11,7 @@
 
 #include "control_client.hpp"
 #include "front_request.hpp"
+#include "reach_monitor.hpp"
 
 namespace pollenloft {
 
@@ -22,6 +23,8 @@
   std::uint64_t seed = 1;
   double retry_ratio = 0.2;  ///< retries for each request
   double retry_slack = 50;   ///< additional retries, over all entry VMs
+  /// For checks only: replaces the host of each endpoint unless it is empty.
+  std::string endpoint_host;
   std::size_t max_queued = 500;
   std::size_t max_deferred = 500;
   /// Time within which an accepted document must be in force on every entry VM.
@@ -54,6 +57,7 @@
   auto metrics_registry() -> metrics& override { return metrics_; }
   auto routes() -> router& override { return router_; }
   auto crashes() -> crash_monitor& override { return crashes_; }
+  auto reach() -> reach_monitor& override { return reach_; }
   auto draining() const -> bool override { return draining_; }
   auto enqueue(const front_request_ptr& request, bool requeued)
       -> void override;
@@ -94,6 +98,7 @@
   auto apply_endpoints(const std::vector<wire::endpoint_record>& records)
       -> void;
   auto apply_record(const wire::endpoint_record& record) -> void;
+  auto remove_endpoint(const std::string& id) -> void;
   auto fail_over_from(const std::string& id) -> void;
   auto dispatch_queued() -> void;
   auto update_cross_zone_rate() -> void;
@@ -121,6 +126,7 @@
   http_server server_;
   http_server readiness_;
   router router_;
+  reach_monitor reach_;
   random_source random_;
   std::map<std::string, retry_budget> retry_budgets_;  // by service
   std::shared_ptr<const route_table> route_table_;
--- a/test/front_request_test.cpp
+++ b/test/front_request_test.cpp
@@ -20,6 +20,7 @@
         client_(loop),
         control_(loop, client_, {}),
         router_({}, 1),
+        reach_(loop, 1),
         crashes_(loop, guard_, metrics_,
                  [this](const auto& report) { reports.push_back(report); }) {}
 
@@ -30,6 +31,7 @@
   auto routes() -> router& override { return router_; }
   auto crashes() -> crash_monitor& override { return crashes_; }
   auto draining() const -> bool override { return false; }
+  auto reach() -> reach_monitor& override { return reach_; }
   auto enqueue(const front_request_ptr& request, bool /*requeued*/)
       -> void override {
     loop_.post([this, request] {
@@ -59,6 +61,7 @@
   http_client client_;
   control_client control_;
   router router_;
+  reach_monitor reach_;
   metrics metrics_;
   crash_guard guard_{"1"};
   crash_monitor crashes_;
