Relay requests to other VMs while a VM reaches no endpoint

Cause: a VM took its own cut for faults of one endpoint after the other, at 400 ms each, until the callers left, and had no other way for a request. Class: a fault of one's own taken for the fault of all others.

Change: a VM that has found that it reaches no endpoint (links.lost) asks the leader for VMs that do, and sends its queued requests to them as its callers sent them. A relayed request is an attempt like any other: it is cancelled, resumed and ended by the same code, and streams event by event. The VM that gets it admits, queues and dispatches it like one of its callers, within the attempts that are left, and never relays it again; a refusal says whether another VM may take it. Key and account are checked there, too. The hop carries a random key of the receiving VM that only VMs learn, from the leader; these headers are removed from what callers and endpoints send. Probes undo the verdict.

Ruled out: reporting not ready and refusing (connections of callers stay, a refused try counts as failed, and most VMs of a zone may be cut).

--- a/include/pollenloft/control.hpp
+++ b/include/pollenloft/control.hpp
@@ -146,6 +146,9 @@
     instant expires{};
     std::uint64_t in_force = 0;  ///< configuration version
     bool draining = false;
+    bool cut_off = false;  ///< from all endpoints
+    std::string relay_address;
+    std::string relay_key;
     std::map<std::string, wire::account_usage> usage;  ///< heavy accounts
   };
 
@@ -156,6 +159,11 @@
   auto start_term(instant now) -> void;
   /// Grants or extends a VM's lease.
   auto renew(const wire::renew_request& request, instant now) -> void;
+  /// Notes whether a VM is cut off from all endpoints.
+  auto set_cut_off(const std::string& vm, bool cut_off) -> void;
+  /// Live VMs other than `vm` that accept relayed requests.
+  auto relay_peers(const std::string& vm, instant now) const
+      -> std::vector<wire::peer_record>;
   /// True if every live lease reports `version` or newer and the leases of
   /// earlier leaders have expired.
   auto in_force_everywhere(std::uint64_t version, instant now) const -> bool;
--- a/include/pollenloft/lifecycle.hpp
+++ b/include/pollenloft/lifecycle.hpp
@@ -102,6 +102,11 @@
   /// Number of dispatches so far. Callers compare it to ignore events of
   /// earlier dispatches.
   auto attempt() const -> std::size_t { return attempt_; }
+  /// Attempts that may still run, including the current dispatch; at least 1.
+  auto attempts_left() const -> std::size_t {
+    const auto used = attempt_ - refusals_;
+    return traits_.max_attempts > used ? traits_.max_attempts - used + 1 : 1;
+  }
   /// Whether no dispatch before the current one may have run; the chart's guard
   /// `untouched`.
   auto no_earlier_run() const -> bool { return no_earlier_run_; }
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -335,11 +335,37 @@
   holder.expires = now + lease_;
   holder.in_force = static_cast<std::uint64_t>(request.in_force);
   holder.draining = request.draining;
+  holder.cut_off = request.cut_off;
+  holder.relay_address = request.relay_address;
+  holder.relay_key = request.relay_key;
   holder.usage.clear();
   for (const auto& usage : request.usage)
     holder.usage[usage.account] = usage;
 }
 
+auto lease_table::set_cut_off(const std::string& vm, bool cut_off) -> void {
+  const auto found = holders_.find(vm);
+  if (found != holders_.end()) found->second.cut_off = cut_off;
+}
+
+auto lease_table::relay_peers(const std::string& vm, instant now) const
+    -> std::vector<wire::peer_record> {
+  std::vector<wire::peer_record> peers;
+  for (const auto& [name, holder] : holders_) {
+    const auto available = name != vm && now < holder.expires &&
+                           !holder.draining && !holder.cut_off &&
+                           !holder.relay_address.empty();
+    if (!available) continue;
+    wire::peer_record peer;
+    peer.vm = name;
+    peer.zone = holder.zone;
+    peer.address = holder.relay_address;
+    peer.key = holder.relay_key;
+    peers.push_back(std::move(peer));
+  }
+  return peers;
+}
+
 auto lease_table::in_force_everywhere(std::uint64_t version, instant now) const
     -> bool {
   if (!prior_leases_expired(now)) return false;
--- a/src/control_client.cpp
+++ b/src/control_client.cpp
@@ -11,6 +11,7 @@
 constexpr auto renew_timeout = milliseconds(700);
 constexpr auto call_timeout = milliseconds(700);
 constexpr auto permit_timeout = milliseconds(500);
+constexpr auto peers_timeout = milliseconds(500);
 constexpr auto retry_delay = milliseconds(30);
 /// Between renewals while the configuration is being fetched.
 constexpr auto transfer_poll_delay = milliseconds(100);
@@ -107,6 +108,9 @@
   request.tracks_suspects = true;
   request.suspects_digest = suspects_digest_;
   request.first = first_renewal_;
+  request.relay_address = options_.relay_address;
+  request.relay_key = options_.relay_key;
+  request.cut_off = cut_off_;
   if (usage_source_) request.usage = usage_source_();
   http_call call{options_.replicas[target_],
                  "POST",
@@ -245,6 +249,29 @@
   if (limiter_.apply(grants, sent, now)) permits_granted.emit();
 }
 
+auto control_client::fetch_peers(bool cut_off, peers_handler done) -> void {
+  cut_off_ = cut_off;
+  wire::peers_request request;
+  request.vm = options_.vm;
+  request.cut_off = cut_off;
+  client_.send(
+      http_call{options_.replicas[target_],
+                "POST",
+                "/control/peers",
+                {},
+                encode_wire(request),
+                peers_timeout,
+                true},
+      {{}, {}, [done = std::move(done)](const auto& result, auto body) {
+         const auto completed = std::holds_alternative<call_completed>(result);
+         auto reply =
+             completed ? decode_wire<wire::peers_reply>(body) : std::nullopt;
+         if (reply && reply->accepted) return done(std::move(reply->peers));
+         log_event(log_level::info, "peers.unavailable",
+                   {{"answered", completed ? 1 : 0}});
+       }});
+}
+
 /// A leader that knows of the digest sends records only if it has changed.
 auto control_client::apply_suspects(const wire::renew_reply& reply) -> void {
   if (reply.suspects_digest == suspects_digest_ && reply.blames.empty()) return;
--- a/src/control_client.hpp
+++ b/src/control_client.hpp
@@ -25,6 +25,8 @@
   std::string zone;
   std::string address;
   std::vector<socket_address> replicas;
+  std::string relay_address{};  ///< for requests of other VMs; may be empty
+  std::string relay_key{};      ///< that these requests must carry
   /// How long this VM may authenticate client accounts after the leader last
   /// confirmed that its document is the latest.
   duration max_document_age = std::chrono::seconds(4);
@@ -89,6 +91,10 @@
   auto set_usage_source(usage_source source) -> void {
     usage_source_ = std::move(source);
   }
+  using peers_handler = sigc::slot<void(std::vector<wire::peer_record>)>;
+  /// Tells the leader whether this VM is cut off from all endpoints, and gets
+  /// VMs that are not. `done` is not called if the leader does not reply.
+  auto fetch_peers(bool cut_off, peers_handler done) -> void;
   auto set_draining(bool draining) -> void { draining_ = draining; }
 
   /// Reports endpoints to the leader; retried until it accepts or the report
@@ -170,6 +176,7 @@
   bool has_config_ = false;
   bool first_renewal_ = true;
   bool draining_ = false;
+  bool cut_off_ = false;  // from all endpoints
   instant lease_until_{};
   std::int64_t term_ = 0;
   std::int64_t directory_sequence_ = 0;
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -53,6 +53,8 @@
 /// Own configurations up to this size travel in the renewal, others in parts.
 constexpr std::size_t max_inline_config_bytes = 16 * 1024;
 constexpr std::size_t max_records_per_renewal = 64;
+/// VMs that one VM relays requests to while it is cut off from endpoints.
+constexpr std::size_t max_relay_peers = 16;
 /// Time that a replica waits for a requested version to be committed. Followers
 /// learn of a commit with the leader's next message.
 constexpr auto state_wait_timeout = milliseconds(150);
@@ -806,6 +808,7 @@
     if (post && path == "/peer/directory") return handle_directory(call);
     if (post && path == "/control/renew") return handle_renewal(call);
     if (post && path == state_transfer_path) return handle_state_request(call);
+    if (post && path == "/control/peers") return handle_peers(call);
     if (post && path == "/control/permits") return handle_permits(call);
     if (post && path == "/control/report") return handle_report(call);
     if (post && path == "/control/claim") return handle_claim(call);
@@ -1089,6 +1092,25 @@
     reply_task_.schedule();
   }
 
+  /// Each VM gets other peers, so that those of many VMs spread their requests.
+  auto handle_peers(const exchange_ptr& call) -> void {
+    const auto request = decode_body<wire::peers_request>(call);
+    if (!request) return;
+    wire::peers_reply reply;
+    reply.leader = leader_address();
+    reply.accepted = is_active_leader();
+    if (reply.accepted) {
+      leases_.set_cut_off(request->vm, request->cut_off);
+      auto peers = leases_.relay_peers(request->vm, boottime_clock::now());
+      const auto count = std::min(max_relay_peers, peers.size());
+      for (std::size_t i = 0; i < count; ++i)
+        std::swap(peers[i], peers[i + random_.below(peers.size() - i)]);
+      peers.resize(count);
+      reply.peers = std::move(peers);
+    }
+    wire_reply(call, reply);
+  }
+
   auto handle_permits(const exchange_ptr& call) -> void {
     const auto request = decode_body<wire::permit_request>(call);
     if (!request) return;
@@ -1428,6 +1450,8 @@
   control_state state_;
   crash_inbox crash_inbox_;
   permit_issuer permit_issuer_;
+  random_source random_{static_cast<std::uint64_t>(
+      boottime_clock::now().time_since_epoch().count())};
   std::vector<wire::blame_record> suspects_;  // as published
   std::int64_t suspects_digest_ = 0;
   instant suspects_published_at_{};
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -23,6 +23,8 @@
   /// How long this VM may authenticate client accounts after the leader last
   /// confirmed that its document is the latest.
   duration max_document_age = std::chrono::seconds(4);
+  std::string relay_address{};  ///< for requests of other VMs; may be empty
+  std::string relay_key{};      ///< that these requests must carry
   route_options routing;
   /// Time in which a draining VM reports not ready but still accepts requests.
   milliseconds drain_notice{1000};
--- a/src/entryd.cpp
+++ b/src/entryd.cpp
@@ -23,6 +23,9 @@
     {"front", "", optional_address{}, "address of the platform's front"},
     {"readiness", "", optional_address{},
      "address that the platform's load balancer probes"},
+    {"relay-listen", "", optional_address{},
+     "address for requests that other entry VMs relay while they reach no "
+     "endpoint; needs --front"},
     {"key-freshness-ms", "4000", number_range{100, 600000},
      "how long keys are accepted without contact to the control replicas; "
      "must be below the time within which a revoked key stops working"},
@@ -80,6 +83,7 @@
   options.retry_slack = values.decimal("retry-slack");
   options.document_apply_time = values.millis("document-apply-ms");
   options.drain_notice = values.millis("drain-notice-ms");
+  options.relay_listen = parse_socket_address(values.text("relay-listen"));
   options.endpoint_host = values.text("endpoint-host");
   options.routing.zone = options.zone;
   options.routing.penalize_mismatch = false;
@@ -93,6 +97,8 @@
   options.zone = values.text("zone");
   options.listen = values.address("listen");
   options.control = control_replicas(values);
+  options.relay_address = values.text("relay-listen");
+  if (!options.relay_address.empty()) options.relay_key = make_relay_key();
   options.max_document_age = values.millis("key-freshness-ms");
   options.routing.policy = *parse_policy(values.text("policy"));
   options.drain_notice = values.millis("drain-notice-ms");
@@ -134,9 +140,11 @@
   entry_server server(loop, options, std::move(*request_chart));
   std::optional<front_server> front;
   if (!values.text("front").empty()) {
-    front.emplace(loop, make_front_options(values, options.seed),
-                  server.client(), server.control(), server.crashes(),
-                  server.request_chart(), server.metrics_registry());
+    auto front_settings = make_front_options(values, options.seed);
+    front_settings.relay_key = options.relay_key;
+    front.emplace(loop, std::move(front_settings), server.client(),
+                  server.control(), server.crashes(), server.request_chart(),
+                  server.metrics_registry());
     server.set_other_open_requests([&front] { return front->open_requests(); });
     server.ending_open_requests.connect(
         [&front] { front->end_open_requests(); });
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -46,7 +46,8 @@
       budget_(budget),
       lifecycle_(request_chart,
                  request_traits{false, params_.route->may_repeat(),
-                                params_.route->max_attempts},
+                                std::min(params_.route->max_attempts,
+                                         params_.max_attempts)},
                  budget),
       last_event_id_(params_.headers.last_event_id) {}
 
@@ -123,20 +124,12 @@
 
 // --- dispatch ----------------------------------------------------------------
 
-auto front_request::make_endpoint_call() const -> http_call {
+auto front_request::make_call() const -> http_call {
   const auto& request = exchange_->request();
-  platform::dispatch_headers headers;
-  headers.deadline = to_ms(time_left());
-  headers.endpoint_id = stages_.front().endpoint->id;
-  headers.account = params_.account;
-  headers.last_event_id = last_event_id_;
-  headers.priority = std::clamp(params_.priority, 0, max_priority);
-  if (params_.engine != nullptr) headers.stages = &stages_;
   http_call call;
   call.peer = stages_.front().endpoint->address;
   call.method = request.method;
   call.target = request.target;
-  call.headers = platform::encode_dispatch(request.headers, headers);
   call.body = request.body;
   call.timeout = time_left() + std::chrono::seconds(1);
   call.connect_timeout = connect_timeout;
@@ -144,7 +137,47 @@
   return call;
 }
 
+auto front_request::make_endpoint_call() const -> http_call {
+  platform::dispatch_headers headers;
+  headers.deadline = to_ms(time_left());
+  headers.endpoint_id = stages_.front().endpoint->id;
+  headers.account = params_.account;
+  headers.last_event_id = last_event_id_;
+  headers.priority = std::clamp(params_.priority, 0, max_priority);
+  if (params_.engine != nullptr) headers.stages = &stages_;
+  auto call = make_call();
+  call.headers = platform::encode_dispatch(
+      without_relay_headers(exchange_->request().headers), headers);
+  return call;
+}
+
+auto front_request::make_relay_call() const -> http_call {
+  auto call = make_call();
+  call.headers = platform::encode_relay(
+      without_relay_headers(exchange_->request().headers), to_ms(time_left()),
+      last_event_id_);
+  call.headers.add(relay_key_header, peer_->key);
+  call.headers.add(relay_attempts_header,
+                   std::to_string(lifecycle_.attempts_left()));
+  return call;
+}
+
 auto front_request::dispatch(chain stages) -> void {
+  peer_.reset();
+  begin_attempt(std::move(stages));
+  host_.count_limited_dispatch(*stages_.front().endpoint);
+  send_attempt(make_endpoint_call());
+  arm_stall_timer();
+}
+
+auto front_request::dispatch_relayed(relay_peer peer) -> void {
+  peer_ = std::move(peer);
+  begin_attempt({{peer_->view, 0, 1}});
+  host_.metrics_registry().add("pollenloft_relayed_requests_total");
+  send_attempt(make_relay_call());
+}
+
+auto front_request::begin_attempt(chain stages) -> void {
   step(request_event::slot);
   stages_ = std::move(stages);
   host_.routes().dispatch_started(stages_, poison_suspect_, tokens(),
@@ -152,22 +185,25 @@
   dispatch_active_ = true;
   response_ = {};
   response_head_ = {};
+  relay_refusal_.reset();
   partial_event_.clear();
   attempt_first_event_ = events_forwarded_;
   parts_survived_ = false;
   dispatched_at_ = boottime_clock::now();
   exposure_ = {dispatched_at_};
-  const auto attempt = lifecycle_.attempt();
-  if (attempt == 1)
+  if (lifecycle_.attempt() == 1)
     host_.metrics_registry().observe("pollenloft_queue_seconds",
                                      boottime_clock::now() - params_.arrived);
-  host_.count_limited_dispatch(*stages_.front().endpoint);
   log_event(log_level::debug, "request.dispatched",
             {{"id", params_.headers.request_id},
-             {"attempt", attempt},
+             {"attempt", lifecycle_.attempt()},
              {"endpoint", stages_.front().endpoint->id},
              {"stages", stages_.size()},
              {"deadline_remaining_ms", to_ms(time_left()).count()}});
+}
+
+auto front_request::send_attempt(const http_call& call) -> void {
+  const auto attempt = lifecycle_.attempt();
   auto self = weak_from_this();
   call_handlers handlers;
   handlers.on_headers = [self, attempt](int status, const auto& headers) {
@@ -181,17 +217,20 @@
   handlers.on_done = [self, attempt](const auto& result, auto body) {
     if (auto request = self.lock()) request->handle_done(attempt, result, body);
   };
-  pending_call_ =
-      host_.client().send(make_endpoint_call(), std::move(handlers));
-  arm_stall_timer();
+  pending_call_ = host_.client().send(call, std::move(handlers));
 }
 
 auto front_request::handle_headers(std::size_t attempt, int status,
                                    const http_headers& headers) -> void {
   if (attempt != lifecycle_.attempt() || !dispatch_active_) return;
   response_.status = status;
-  response_.headers = platform::encode_response_headers(headers);
+  response_.headers =
+      without_relay_headers(platform::encode_response_headers(headers));
   response_head_ = platform::decode_response_head(status, headers);
+  if (peer_) {
+    relay_refusal_ = headers.find(relay_refused_header);
+    return;
+  }
   if (!answers_other_request() && !response_head_.misdirected)
     host_.control().observe_limit(*stages_.front().endpoint, status,
                                   response_head_.limit, dispatched_at_);
@@ -281,10 +320,12 @@
   if (answers_other_request())
     return fail_attempt({"answer.head", stages_.front().endpoint->id,
                          "the answer is for another request"});
-  if (response_head_.not_run) return handle_refusal();
+  if (relay_refusal_) return handle_relay_refusal(*relay_refusal_);
+  if (response_head_.not_run && !peer_) return handle_refusal();
   response_.body = body;
   const auto failed = response_.status >= 500;
-  if (failed && params_.route->may_repeat() && !exchange_->started()) {
+  if (failed && !peer_ && params_.route->may_repeat() &&
+      !exchange_->started()) {
     failed_response_ = response_;
     return fail_attempt({"answer.status", stages_.front().endpoint->id,
                          std::to_string(response_.status)});
@@ -293,7 +334,7 @@
     return fail_attempt({"answer.event", stages_.front().endpoint->id,
                          "the last event is not whole"});
   // An endpoint that answers with an error may not have run the request.
-  if (!failed) {
+  if (!failed && !peer_) {
     host_.crashes().record_survival(params_.fingerprint);
     const auto wrote = !is_stream() || events_forwarded_ > attempt_first_event_;
     if (response_.status == 200 && wrote) record_part_survival();
@@ -358,11 +399,32 @@
   step(event);
 }
 
+/// Handles a VM's refusal of a relayed request, which has not run.
+auto front_request::handle_relay_refusal(const std::string& where) -> void {
+  const auto peer = peer_->view->id;
+  log_event(log_level::info, "relay.refused",
+            {{"id", params_.headers.request_id},
+             {"peer", peer},
+             {"where", where},
+             {"status", response_.status}});
+  release_slots(dispatch_result::refused, peer);
+  const auto final_response = std::exchange(response_, {});
+  step(request_event::busy);
+  if (where == relay_refused_here) return host_.relay().drop(peer);
+  if (ended() || !no_earlier_run()) return;
+  host_.dequeue(shared_from_this());
+  relayed_refusal_ = final_response;
+  refuse(final_response.status, "another VM refused the request", retry_after_);
+}
+
 /// Handles a connection that was never established. It uses up no attempt.
 auto front_request::handle_unsent(const error& cause) -> void {
   const auto endpoint = stages_.front().endpoint->id;
   log_failure("endpoint.unreachable", cause);
-  host_.reach().contact_failed(endpoint);
+  if (peer_)
+    host_.relay().drop(endpoint);
+  else
+    host_.reach().contact_failed(endpoint);
   end_reason_ = "the endpoints are not reached";
   avoided_endpoints_.insert(endpoint);
   release_slots(dispatch_result::down, endpoint);
@@ -372,6 +434,10 @@
 /// The connection broke off. Any stage may have crashed: the head breaks off
 /// when a later one does.
 auto front_request::handle_interruption(const error& cause) -> void {
+  if (peer_) {
+    host_.relay().drop(peer_->view->id);
+    return fail_attempt(cause);
+  }
   const auto stages = stages_;
   host_.reach().contact_failed(stages.front().endpoint->id);
   end_failed_dispatch(cause);
@@ -469,7 +535,8 @@
 }
 
 auto front_request::arm_stall_timer() -> void {
-  if (!params_.route->may_repeat()) return;
+  // The VM that has a relayed request watches over its endpoints.
+  if (!params_.route->may_repeat() || peer_) return;
   stall_timer_ = host_.loop().after(stall_timeout(), [self = weak_from_this()] {
     if (auto request = self.lock()) request->handle_stall();
   });
@@ -607,6 +674,8 @@
   const auto not_run = status == 503;
   auto headers = platform::local_reply_headers(
       params_.headers.request_id, not_run ? retry_after_ : milliseconds(0));
+  if (params_.relayed && not_run)
+    headers.add(relay_refused_header, host_.relay_refusal_scope());
   if (host_.draining()) headers.add("Connection", "close");
   exchange_->reply(status, headers, end_reason_ + "\n");
 }
@@ -623,6 +692,9 @@
       reply_buffered(response_);
   } else if (exchange_->started()) {
     exchange_->abort();
+  } else if (result == outcome::not_run && relayed_refusal_) {
+    status = relayed_refusal_->status;
+    reply_buffered(*relayed_refusal_);
   } else if (result == outcome::not_run) {
     status = refusal_status_.value_or(503);
     reply_local(status);
@@ -653,6 +725,7 @@
        {"outcome", result},
        {"status", status},
        {"attempts", lifecycle_.attempt()},
+       {"relayed", params_.relayed ? 1 : 0},
        {"events", events_forwarded_},
        {"took_ms", to_ms(boottime_clock::now() - params_.arrived).count()},
        {"reason", succeeded ? "" : end_reason_}});
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -17,7 +17,7 @@
 #include "pollenloft/net.hpp"
 #include "pollenloft/route.hpp"
 #include "pollenloft/telemetry.hpp"
-#include "reach_monitor.hpp"
+#include "vm_relay.hpp"
 
 namespace pollenloft {
 
@@ -29,6 +29,12 @@
  public:
   virtual auto draining() const -> bool = 0;
   virtual auto reach() -> reach_monitor& = 0;
+  virtual auto relay() -> vm_relay& = 0;
+  /// Whether refusals of relayed requests concern this VM alone.
+  auto relay_refusal_scope() -> const char* {
+    return draining() || reach().cut_off() ? relay_refused_here
+                                           : relay_refused_anywhere;
+  }
 };
 
 /// Parameters of a request that are known before it is queued.
@@ -40,6 +46,8 @@
   const engine_profile* engine = nullptr;  ///< null for a plain service
   std::string account;                     ///< empty on public routes
   std::int32_t priority = 1;
+  std::size_t max_attempts = SIZE_MAX;  ///< besides that of the route
+  bool relayed = false;  ///< by another VM, so it is not relayed again
   platform::caller_headers headers;
   std::uint64_t fingerprint = 0;     ///< of account, target and body
   std::vector<std::uint64_t> parts;  ///< fingerprints of shared prompt parts
@@ -65,6 +73,8 @@
   auto no_earlier_run() const -> bool { return lifecycle_.no_earlier_run(); }
   /// Sends the request along `stages`.
   auto dispatch(chain stages) -> void;
+  /// Sends the request to another VM, which dispatches it.
+  auto dispatch_relayed(relay_peer peer) -> void;
   /// Ends a queued request with `status`; the caller may retry after
   /// `retry_after`.
   auto refuse(int status, const std::string& reason, milliseconds retry_after)
@@ -91,7 +101,11 @@
     return params_.route->kind == request_kind::stream;
   }
   auto time_left() const -> duration;
+  auto begin_attempt(chain stages) -> void;
+  auto send_attempt(const http_call& call) -> void;
+  auto make_call() const -> http_call;
   auto make_endpoint_call() const -> http_call;
+  auto make_relay_call() const -> http_call;
   auto handle_headers(std::size_t attempt, int status,
                       const http_headers& headers) -> void;
   auto handle_data(std::size_t attempt, std::string_view bytes) -> void;
@@ -102,6 +116,7 @@
                    std::string_view body) -> void;
   auto handle_response(std::string_view body) -> void;
   auto handle_refusal() -> void;
+  auto handle_relay_refusal(const std::string& where) -> void;
   auto handle_unsent(const error& cause) -> void;
   auto handle_interruption(const error& cause) -> void;
   auto fail_attempt(const error& cause) -> void;
@@ -155,6 +170,8 @@
   timer repair_timer_;
   timer budget_timer_;
   std::set<std::string> avoided_endpoints_;  // by id; they failed this request
+  std::optional<relay_peer> peer_;           // of a relayed attempt
+  std::optional<std::string> relay_refusal_;
   instant dispatched_at_{};
   exposure exposure_;  // to the present stages
   bool dispatch_active_ = false;
@@ -163,6 +180,8 @@
   platform::response_head response_head_;
   /// An endpoint's error response, sent if all attempts fail.
   std::optional<buffered_response> failed_response_;
+  /// Another VM's refusal of the relayed request, sent as it is.
+  std::optional<buffered_response> relayed_refusal_;
   std::string partial_event_;  // bytes of an incomplete event
   std::optional<std::int64_t> last_event_id_;
   std::size_t events_forwarded_ = 0;
--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -62,13 +62,19 @@
               }),
       readiness_(loop_, http_limits{},
                  [this](const exchange_ptr& call) { handle_readiness(call); }),
+      relay_server_(loop_, front_limits,
+                    [this](const exchange_ptr& call) { handle_relayed(call); }),
       router_(options_.routing, options_.seed),
       reach_(loop_, options_.seed),
+      relay_(control_, reach_),
       random_(options_.seed),
       queues_(options_.max_queued, options_.seed),
       dispatch_task_(loop_, [this] { dispatch_queued(); }),
       resume_task_(loop_, [this] { resume_deferred(); }) {
   router_.set_limiter(control_.limiter());
+  reach_.changed.connect(
+      [this] { metrics_.set("pollenloft_cut_off", reach_.cut_off() ? 1 : 0); });
+  relay_.changed.connect([this] { dispatch_task_.schedule(); });
   control_.permits_granted.connect([this] { dispatch_task_.schedule(); });
   control_.document_changed.connect([this] { apply_document(); });
   control_.document_confirmed.connect([this] { handle_confirmation(); });
@@ -84,6 +90,8 @@
 auto front_server::start() -> std::optional<bool> {
   if (!server_.listen(options_.listen)) return std::nullopt;
   if (!readiness_.listen(options_.readiness)) return std::nullopt;
+  if (options_.relay_listen && !relay_server_.listen(*options_.relay_listen))
+    return std::nullopt;
   tick_timer_ = loop_.every(tick_interval, [this] { tick(); });
   return true;
 }
@@ -122,6 +130,9 @@
                "status=\"" + std::to_string(status) + "\"");
   auto headers = platform::local_reply_headers(
       id, status == 503 ? retry_after : milliseconds(0));
+  if (status == 503 &&
+      parse_relay_terms(call->request().headers, options_.relay_key))
+    headers.add(relay_refused_header, relay_refusal_scope());
   if (draining_) headers.add("Connection", "close");
   call->reply(status, headers, reason + "\n");
 }
@@ -198,6 +209,23 @@
   }
 }
 
+auto front_server::handle_relayed(const exchange_ptr& call) -> void {
+  const auto known =
+      parse_relay_terms(call->request().headers, options_.relay_key);
+  if (known && !draining_ && !reach_.cut_off() && route_table_) {
+    metrics_.add("pollenloft_relayed_requests_received_total");
+    return handle_request(call, boottime_clock::now());
+  }
+  log_event(log_level::info, "relay.not_accepted",
+            {{"peer", call->request().peer},
+             {"key_known", known ? 1 : 0},
+             {"draining", draining_ ? 1 : 0},
+             {"cut_off", reach_.cut_off() ? 1 : 0}});
+  http_headers headers;
+  headers.add(relay_refused_header, relay_refused_here);
+  call->reply(503, headers, "This VM takes no relayed requests now.\n");
+}
+
 auto front_server::handle_request(const exchange_ptr& call, instant arrived)
     -> void {
   if (refusing_new_) return refuse(call, 503, "This VM is shutting down.");
@@ -213,6 +241,11 @@
     return refuse_as_unknown(call, arrived, 404, "There is no route.");
   const auto& config = route_table_->config();
   params.priority = params.route->priority;
+  if (const auto terms =
+          parse_relay_terms(request.headers, options_.relay_key)) {
+    params.relayed = true;
+    params.max_attempts = terms->attempts;
+  }
   if (config.has_accounts && !params.route->is_public) {
     if (!document_fresh())
       return refuse(call, 503, "This VM may not know the newest keys.");
@@ -451,6 +484,18 @@
       queue.remove(*id, false);
       continue;
     }
+    if (reach_.cut_off() && request->parameters().relayed &&
+        request->no_earlier_run()) {
+      queue.remove(*id, false);
+      request->refuse(503, "this VM reaches no endpoint", default_retry_after);
+      continue;
+    }
+    if (!request->parameters().relayed)
+      if (auto peer = relay_.choose()) {
+        queue.remove(*id, true);
+        request->dispatch_relayed(std::move(*peer));
+        continue;
+      }
     auto criteria = request->make_chain_request();
     auto stages = router_.choose_with_fallback(criteria, now);
     if (!stages && criteria.poison_suspect) {
@@ -501,7 +546,7 @@
   const auto now = boottime_clock::now();
   update_cross_zone_rate();
   reach_.tick();
-  metrics_.set("pollenloft_cut_off", reach_.cut_off() ? 1 : 0);
+  relay_.tick();
   refuse_expired_deferred(now);
   refuse_overdue(now);
   dispatch_queued();
--- a/src/front_server.hpp
+++ b/src/front_server.hpp
@@ -23,6 +23,9 @@
   std::uint64_t seed = 1;
   double retry_ratio = 0.2;  ///< retries for each request
   double retry_slack = 50;   ///< additional retries, over all entry VMs
+  /// Takes requests that other VMs relay; none if it is empty.
+  std::optional<socket_address> relay_listen;
+  std::string relay_key;
   /// For checks only: replaces the host of each endpoint unless it is empty.
   std::string endpoint_host;
   std::size_t max_queued = 500;
@@ -58,6 +61,7 @@
   auto routes() -> router& override { return router_; }
   auto crashes() -> crash_monitor& override { return crashes_; }
   auto reach() -> reach_monitor& override { return reach_; }
+  auto relay() -> vm_relay& override { return relay_; }
   auto draining() const -> bool override { return draining_; }
   auto enqueue(const front_request_ptr& request, bool requeued)
       -> void override;
@@ -68,6 +72,8 @@
 
  private:
   auto handle_request(const exchange_ptr& call, instant arrived) -> void;
+  /// Handles a request that another VM has relayed.
+  auto handle_relayed(const exchange_ptr& call) -> void;
   /// Defers a request until the document changes or is confirmed. It is refused
   /// with `reason` if that takes too long.
   auto defer(const exchange_ptr& call, instant arrived,
@@ -125,8 +131,10 @@
   metrics& metrics_;
   http_server server_;
   http_server readiness_;
+  http_server relay_server_;
   router router_;
   reach_monitor reach_;
+  vm_relay relay_;
   random_source random_;
   std::map<std::string, retry_budget> retry_budgets_;  // by service
   std::shared_ptr<const route_table> route_table_;
--- a/support/pollenloft.thrift
+++ b/support/pollenloft.thrift
@@ -110,12 +110,14 @@
 // `document` is the newest one that the VM knows of. A VM with `fetches_state`
 // requests large texts in parts; to others the reply carries them whole.
 // `suspects_digest` is that of the crash records that the VM holds; it receives
-// those of others at once if it `tracks_suspects`.
+// those of others at once if it `tracks_suspects`. Another VM that is `cut_off`
+// from all endpoints may relay requests to `relay_address` with `relay_key`.
 struct renew_request {
   1: string vm, 2: string incarnation, 3: i64 in_force, 4: i64 term,
   5: i64 directory_sequence, 6: list<account_usage> usage, 7: string zone,
   8: string address, 9: bool draining, 10: bool first, 11: i64 document,
-  12: bool fetches_state, 13: bool tracks_suspects, 14: i64 suspects_digest
+  12: bool fetches_state, 13: bool tracks_suspects, 14: i64 suspects_digest,
+  15: string relay_address, 16: string relay_key, 17: bool cut_off
 }
 struct renew_reply {
   1: bool granted, 2: string leader, 3: i64 lease_ms, 4: i64 term,
@@ -145,6 +147,15 @@
   1: bool accepted, 2: string leader, 3: list<permit_grant_record> grants
 }
 
+// VMs to which a VM that is cut off from endpoints may relay requests.
+struct peer_record {
+  1: string vm, 2: string zone, 3: string address, 4: string key
+}
+struct peers_request { 1: string vm, 2: bool cut_off }
+struct peers_reply {
+  1: bool accepted, 2: string leader, 3: list<peer_record> peers
+}
+
 // A request for the part at `offset` of the frame with `digest` of a state text;
 // `base` and `base_digest` name the text that the VM holds.
 struct state_request {
--- a/test/front_request_test.cpp
+++ b/test/front_request_test.cpp
@@ -21,6 +21,7 @@
         control_(loop, client_, {}),
         router_({}, 1),
         reach_(loop, 1),
+        relay_(control_, reach_),
         crashes_(loop, guard_, metrics_,
                  [this](const auto& report) { reports.push_back(report); }) {}
 
@@ -32,6 +33,7 @@
   auto crashes() -> crash_monitor& override { return crashes_; }
   auto draining() const -> bool override { return false; }
   auto reach() -> reach_monitor& override { return reach_; }
+  auto relay() -> vm_relay& override { return relay_; }
   auto enqueue(const front_request_ptr& request, bool /*requeued*/)
       -> void override {
     loop_.post([this, request] {
@@ -62,6 +64,7 @@
   control_client control_;
   router router_;
   reach_monitor reach_;
+  vm_relay relay_;
   metrics metrics_;
   crash_guard guard_{"1"};
   crash_monitor crashes_;
