Test relayed requests at the VM that gets them

A forged key, headers of the hop from callers and endpoints, the API key, the attempts that are left and a draining VM: 7 cases of relayed_request_test (new code, not shown failing before). front_request_test gave its control client no replica, which the relay asks: it crashed; settings_test lacked the port that the relay listens on.

--- a/src/vm_relay.cpp
+++ b/src/vm_relay.cpp
@@ -60,7 +60,9 @@
 
 auto vm_relay::fetch() -> void {
   fetched_at_ = boottime_clock::now();
-  control_.fetch_peers(reach_.cut_off(), [this](const auto& records) {
+  control_.fetch_peers(reach_.cut_off(), [this, alive = std::weak_ptr(alive_)](
+                                             const auto& records) {
+    if (alive.expired()) return;
     peers_.clear();
     for (const auto& record : records) {
       const auto address = parse_socket_address(record.address);
--- a/src/vm_relay.hpp
+++ b/src/vm_relay.hpp
@@ -71,6 +71,7 @@
   std::vector<relay_peer> peers_;
   std::size_t next_ = 0;
   instant fetched_at_{};
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace pollenloft
--- a/test/front_request_test.cpp
+++ b/test/front_request_test.cpp
@@ -18,7 +18,7 @@
   explicit test_host(event_loop& loop)
       : loop_(loop),
         client_(loop),
-        control_(loop, client_, {}),
+        control_(loop, client_, options_of_control()),
         router_({}, 1),
         reach_(loop, 1),
         relay_(control_, reach_),
@@ -59,6 +59,13 @@
   front_request_ptr request;
 
  private:
+  /// No process listens there.
+  static auto options_of_control() -> control_client_options {
+    control_client_options options;
+    options.replicas = {{"127.0.9.1", 1}};
+    return options;
+  }
+
   event_loop& loop_;
   http_client client_;
   control_client control_;
--- a/test/front_server_test.cpp
+++ b/test/front_server_test.cpp
@@ -11,6 +11,7 @@
 
 const socket_address front_address{"127.0.9.10", 18091};
 const socket_address readiness_address{"127.0.9.10", 18092};
+const socket_address relay_address{"127.0.9.10", 18095};
 const socket_address control_address{"127.0.9.11", 18093};
 const socket_address endpoint_address{"127.0.9.12", 18094};
 constexpr auto max_negative_age = milliseconds(200);
@@ -191,6 +192,8 @@
     front.document_apply_time = 2 * max_negative_age;
     front.drain_notice = milliseconds(100);
     front.max_deferred = 2;
+    front.relay_listen = relay_address;
+    front.relay_key = "secret";
     front_ = std::make_unique<front_server>(loop_, front, *client_, *control_,
                                             *crashes_, *chart_, metrics_);
     endpoint_ = make_endpoint();
@@ -562,4 +565,118 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(front_prompt_part_test);
 
+/// Requests that another VM relays to this one.
+class relayed_request_test : public front_server_test {
+  CPPUNIT_TEST_SUITE(relayed_request_test);
+  CPPUNIT_TEST(relayed_request_is_not_served);
+  CPPUNIT_TEST(caller_forges_the_key_of_a_relay);
+  CPPUNIT_TEST(caller_names_itself_a_relay);
+  CPPUNIT_TEST(relayed_request_skips_the_check_of_its_api_key);
+  CPPUNIT_TEST(endpoint_refuses_in_the_name_of_a_vm);
+  CPPUNIT_TEST(refusal_of_a_draining_vm_is_final);
+  CPPUNIT_TEST(request_exceeds_the_attempts_that_are_left);
+  CPPUNIT_TEST_SUITE_END();
+
+  static auto make_relayed_call(const std::string& target,
+                                const std::string& key) -> http_call {
+    auto call = make_call(target);
+    call.peer = relay_address;
+    call.headers.add(relay_key_header, key);
+    call.headers.add(relay_attempts_header, "1");
+    return call;
+  }
+
+  /// Starts an endpoint that keeps the headers of its last request.
+  auto record_headers(http_headers& received) -> void {
+    endpoint_.reset();
+    endpoint_ = std::make_unique<http_server>(
+        loop_, http_limits{}, [&received](const exchange_ptr& call) {
+          received = call->request().headers;
+          call->reply(200,
+                      http_headers()
+                          .add("Request-Id", "q")
+                          .add(relay_refused_header, relay_refused_here),
+                      "done");
+        });
+    CPPUNIT_ASSERT(endpoint_->listen(endpoint_address));
+  }
+
+ public:
+  auto relayed_request_is_not_served() -> void {
+    receive_document();
+    http_headers received;
+    record_headers(received);
+    CPPUNIT_ASSERT_EQUAL(200, send(make_relayed_call("/x/1", "secret")).status);
+    CPPUNIT_ASSERT(received.find("Deadline-Ms"));
+    CPPUNIT_ASSERT(!received.find(relay_key_header));
+    CPPUNIT_ASSERT(!received.find(relay_attempts_header));
+  }
+
+  auto caller_forges_the_key_of_a_relay() -> void {
+    receive_document();
+    http_headers received;
+    record_headers(received);
+    for (const auto* key : {"", "guess", "secrets"}) {
+      const auto result = send(make_relayed_call("/x/1", key));
+      CPPUNIT_ASSERT_EQUAL(503, result.status);
+      CPPUNIT_ASSERT(result.headers.find(relay_refused_header) ==
+                     relay_refused_here);
+    }
+    CPPUNIT_ASSERT(received.fields().empty());
+  }
+
+  auto caller_names_itself_a_relay() -> void {
+    receive_document();
+    http_headers received;
+    record_headers(received);
+    auto call = make_relayed_call("/x/1", "guess");
+    call.peer = front_address;
+    CPPUNIT_ASSERT_EQUAL(200, send(call).status);
+    CPPUNIT_ASSERT(!received.find(relay_key_header));
+  }
+
+  auto relayed_request_skips_the_check_of_its_api_key() -> void {
+    receive_document();
+    auto call = make_relayed_call("/closed/1", "secret");
+    call.headers.add("Api-Key", "unknown");
+    CPPUNIT_ASSERT_EQUAL(401, send(call).status);
+    call = make_relayed_call("/closed/1", "secret");
+    call.headers.add("Api-Key", "old");
+    CPPUNIT_ASSERT_EQUAL(200, send(call).status);
+  }
+
+  auto endpoint_refuses_in_the_name_of_a_vm() -> void {
+    receive_document();
+    http_headers received;
+    record_headers(received);
+    const auto result = send(make_relayed_call("/x/1", "secret"));
+    CPPUNIT_ASSERT(!result.headers.find(relay_refused_header));
+  }
+
+  auto refusal_of_a_draining_vm_is_final() -> void {
+    receive_document();
+    front_->drain();
+    const auto result = send(make_relayed_call("/x/1", "secret"));
+    CPPUNIT_ASSERT_EQUAL(503, result.status);
+    CPPUNIT_ASSERT(result.headers.find(relay_refused_header) ==
+                   relay_refused_here);
+  }
+
+  auto request_exceeds_the_attempts_that_are_left() -> void {
+    receive_document();
+    auto runs = 0;
+    endpoint_.reset();
+    endpoint_ = std::make_unique<http_server>(
+        loop_, http_limits{}, [&runs](const exchange_ptr& call) {
+          ++runs;
+          call->abort();
+        });
+    CPPUNIT_ASSERT(endpoint_->listen(endpoint_address));
+    CPPUNIT_ASSERT_EQUAL(502, send(make_relayed_call("/x/1", "secret")).status);
+    CPPUNIT_ASSERT_EQUAL(1, runs);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(relayed_request_test);
+
 }  // namespace pollenloft::test
--- a/test/settings_test.cpp
+++ b/test/settings_test.cpp
@@ -59,6 +59,7 @@
           {"Zone", "z"},
           {"Ip", "10.0.0.1"},
           {"PortRange.0", "7000"},
+          {"PortRange.1", "7015"},
           {"Listen.Front", "10.0.0.1:80"},
           {"Listen.Readiness", "10.0.0.1:81"},
           {"Listen.Control", "10.0.0.1:82"},
