--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -332,7 +332,9 @@
   const auto service = services.find(record.pipeline);
   const auto allowed = service != services.end() &&
                        service->second->allows_endpoint(record.id, record.kind);
-  const auto view = to_endpoint_view(record);
+  auto view = to_endpoint_view(record);
+  if (view && !options_.endpoint_host.empty())
+    view->address.host = options_.endpoint_host;
   if (up && allowed && view)
     router_.upsert(*view);
   else
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -32,6 +32,8 @@
   milliseconds grace{30000};
   std::size_t max_queued = 2000;  ///< queued requests per service
   std::uint64_t seed = 1;
+  /// For checks only: replaces the host of each endpoint unless it is empty.
+  std::string endpoint_host{};
   /// A mechanism that a check has disabled (lease, claims, resume, ...); empty
   /// in production.
   std::string disabled_mechanism;
--- a/src/entryd.cpp
+++ b/src/entryd.cpp
@@ -97,6 +97,7 @@
   options.zone = values.text("zone");
   options.listen = values.address("listen");
   options.control = control_replicas(values);
+  options.endpoint_host = values.text("endpoint-host");
   options.relay_address = values.text("relay-listen");
   if (!options.relay_address.empty()) options.relay_key = make_relay_key();
   options.max_document_age = values.millis("key-freshness-ms");
--- a/src/vm_relay.cpp
+++ b/src/vm_relay.cpp
@@ -23,11 +23,12 @@
   constexpr std::array<const char*, 3> names{
       relay_key_header, relay_attempts_header, relay_refused_header};
   http_headers kept;
-  for (const auto& [name, value] : headers.fields()) {
-    const auto internal = std::any_of(
-        names.begin(), names.end(),
-        [&](const auto* each) { return strcasecmp(name.c_str(), each) == 0; });
-    if (!internal) kept.add(name, value);
+  for (const auto& field : headers.fields()) {
+    const auto internal =
+        std::any_of(names.begin(), names.end(), [&](const auto* each) {
+          return strcasecmp(field.first.c_str(), each) == 0;
+        });
+    if (!internal) kept.add(field.first, field.second);
   }
   return kept;
 }
