Count a refused relay as an attempt once the request may have run

What callers saw: nothing yet (by reading). A request that may have run in an earlier attempt was queued again after each refusal of a relayed attempt, without using an attempt or the retry budget, so that VMs that refuse at once would have been asked without pause until its deadline. It uses an attempt now, like a refusal of an endpoint.

The search for what holds a request up runs only if an endpoint has named a limit: it looks at all endpoints of the service.

--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -409,9 +409,13 @@
              {"status", response_.status}});
   release_slots(dispatch_result::refused, peer);
   const auto final_response = std::exchange(response_, {});
+  if (where == relay_refused_here) {
+    host_.relay().drop(peer);
+    return step(request_event::busy);
+  }
+  // The refusal is true of this attempt alone, and others would refuse, too.
+  if (!no_earlier_run()) return continue_after(request_event::not_run);
   step(request_event::busy);
-  if (where == relay_refused_here) return host_.relay().drop(peer);
-  if (ended() || !no_earlier_run()) return;
   host_.dequeue(shared_from_this());
   relayed_refusal_ = final_response;
   refuse(final_response.status, "another VM refused the request", retry_after_);
--- a/src/route.cpp
+++ b/src/route.cpp
@@ -602,6 +602,9 @@
 
 auto router::permit_wait(const chain_request& request, instant now) const
     -> std::optional<duration> {
+  if (impl_->limiter == nullptr ||
+      impl_->limiter->limits().statements().empty())
+    return std::nullopt;
   const auto found = shortages(request, now);
   const auto by_limits =
       std::all_of(found.begin(), found.end(), [](const auto& zone) {
