--- a/test/limit_share_test.cpp
+++ b/test/limit_share_test.cpp
@@ -76,8 +76,6 @@
            std::chrono::duration<double>(now_ - from).count();
   }
 
-  double limit_named = -1;  // by the endpoint; negative is that of the load
-
  private:
   struct vm {
     std::string name;
