--- a/src/standin_engine.cpp
+++ b/src/standin_engine.cpp
@@ -13,21 +13,9 @@
 constexpr auto announce_retry_delay = milliseconds(200);
 constexpr auto call_timeout = milliseconds(1000);
 constexpr auto leave_grace_period = std::chrono::seconds(2);
-constexpr auto crash_marker = "[crash]";
-/// Names the endpoint in calls of the platform's front.
-constexpr auto platform_endpoint_header = "Expect-Instance";
-constexpr auto platform_limit_header = "Server-Limit";
-constexpr auto own_limit_header = "Engine-Request-Limit";
+constexpr double ms_per_second = 1000;
 constexpr double bytes_per_token = 4;
 
-auto reply_json(const exchange_ptr& call, int status, const json& body,
-                bool may_have_run) -> void {
-  http_headers headers;
-  headers.add("Content-Type", "application/json");
-  if (!may_have_run) headers.add("Engine-Began", "no");
-  call->reply(status, headers, body.dump() + "\n");
-}
-
 auto to_us(duration d) -> double {
   return std::chrono::duration<double, std::micro>(d).count();
 }
@@ -56,6 +44,8 @@
   running_ = true;
   frozen_ = false;
   leave_announced_at_ = {};
+  says_leaving_ = false;
+  paused_until_ = {};
   announce();
   heartbeat_timer_ =
       context_.loop.every(heartbeat_interval, [this] { heartbeat(); });
@@ -78,6 +68,12 @@
     response_delay_ = milliseconds(static_cast<std::int64_t>(factor));
   } else if (fault == "limit") {
     request_limit_ = factor;
+  } else if (fault == "say-leaving") {
+    says_leaving_ = true;
+  } else if (fault == "pause") {
+    paused_until_ =
+        boottime_clock::now() +
+        milliseconds(static_cast<std::int64_t>(factor * ms_per_second));
   } else if (fault == "cross") {
     swap_events_ = factor != 0;
   } else if (fault == "leave") {
@@ -195,11 +191,6 @@
 
 // --- model requests ---------------------------------------------------------
 
-auto engine::add_limit(http_headers& headers, const char* name) const -> void {
-  if (request_limit_ < 0) return;
-  headers.add(name, std::to_string(request_limit_));
-}
-
 auto engine::handle_request(const exchange_ptr& call) -> void {
   ++context_.ledger.arrivals[spec_.id];
   if (plain_) return handle_plain(call);
@@ -233,6 +224,7 @@
   const auto body = json::parse(call->request().body, nullptr, false);
   if (!body.is_object())
     return reply_json(call, 400, {{"error", "not JSON"}}, false);
+  if (pauses()) return refuse_paused(call, false);
   auto work = std::make_shared<sequence>();
   const auto attempt = body.value("attempt", 1);
   work->attempt_id = body.value("request", "") + "/" + std::to_string(attempt);
@@ -269,7 +261,7 @@
   });
   http_headers headers;
   headers.add("Content-Type", "text/event-stream");
-  add_limit(headers, own_limit_header);
+  add_notices(headers, false);
   call->start(200, headers);
   if (work->next_token >= work->max_tokens) {
     send_event(work, end_event(*work));
@@ -440,41 +432,4 @@
       .dump();
 }
 
-// --- plain services --------------------------------------------------------
-
-auto engine::handle_plain(const exchange_ptr& call) -> void {
-  const auto& request = call->request();
-  const auto refuse = [&](const char* reason) {
-    reply_json(call, 503, {{"error", reason}, {"endpoint", spec_.id}}, false);
-  };
-  auto endpoint = request.headers.find("Pollenloft-Endpoint");
-  if (!endpoint) endpoint = request.headers.find(platform_endpoint_header);
-  if (endpoint != spec_.id) return refuse("incarnation");
-  if (leave_announced_at_ != instant{}) return refuse("leaving");
-  if (plain_running_ >= spec_.slots) return refuse("full");
-  const auto key =
-      request.headers.find("Idempotency-Key").value_or(request.body);
-  ++plain_running_;
-  ++context_.ledger.plain_runs[key];
-  const auto on_front =
-      request.headers.find(platform_endpoint_header).has_value();
-  const auto crashes = request.body.find(crash_marker) != std::string::npos;
-  const auto incarnation = incarnation_;
-  run_later(
-      context_.loop, latency_ + response_delay_,
-      [this, call, key, crashes, incarnation, on_front] {
-        if (!running_ || incarnation != incarnation_) return call->abort();
-        if (frozen_) return;
-        if (crashes) {
-          call->abort();
-          return crash();
-        }
-        --plain_running_;
-        http_headers headers;
-        headers.add("Content-Type", "application/json");
-        add_limit(headers, on_front ? platform_limit_header : own_limit_header);
-        call->reply(200, headers, json{{"done", key}, {"by", spec_.id}}.dump());
-      });
-}
-
 }  // namespace pollenloft::standin
--- a/src/standin_engine.hpp
+++ b/src/standin_engine.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <set>
 #include <string>
 #include <vector>
@@ -17,6 +18,13 @@
 
 class engine;
 
+/// Requests with this text crash the engine that runs them.
+constexpr auto crash_marker = "[crash]";
+
+/// Replies with a JSON body; `may_have_run` is false for a refusal.
+auto reply_json(const exchange_ptr& call, int status,
+                const nlohmann::json& body, bool may_have_run) -> void;
+
 /// One stage of a sequence's chain: layers [from, to) on one engine.
 struct stage {
   engine* runner = nullptr;  ///< null if the endpoint is unknown
@@ -77,7 +85,9 @@
   /// (steps take `factor` times as long), `late` (answers are delayed by
   /// `factor` ms), `cross` (events of different streams are swapped; 0 turns it
   /// off), `limit` (answers name a limit of `factor` requests per second; a
-  /// negative one turns it off). False if the fault is unknown.
+  /// negative one turns it off), `say-leaving` (answers say that it leaves),
+  /// `pause` (refuses requests for `factor` seconds and asks for a pause of the
+  /// rest of that time). False if the fault is unknown.
   auto inject_fault(const std::string& fault, double factor) -> bool;
   auto id() const -> const std::string& { return spec_.id; }
 
@@ -91,7 +101,10 @@
   };
 
   auto handle_request(const exchange_ptr& call) -> void;
-  auto add_limit(http_headers& headers, const char* name) const -> void;
+  /// Adds what the engine states of itself to the head of a response.
+  auto add_notices(http_headers& headers, bool on_front) const -> void;
+  auto pauses() const -> bool { return boottime_clock::now() < paused_until_; }
+  auto refuse_paused(const exchange_ptr& call, bool on_front) const -> void;
   auto handle_generate(const exchange_ptr& call) -> void;
   auto handle_plain(const exchange_ptr& call) -> void;
   /// Endpoint id and reason if a stage cannot run the sequence.
@@ -132,7 +145,9 @@
   double slowdown_ = 1;
   milliseconds response_delay_{0};
   bool swap_events_ = false;
-  double request_limit_ = -1;   // named in answers if it is not negative
+  double request_limit_ = -1;  // named in answers if it is not negative
+  bool says_leaving_ = false;
+  instant paused_until_{};
   std::string deferred_event_;  // waits to be swapped with another stream
   sequence_ptr deferred_sequence_;
   std::deque<batch_item> queue_;
