--- a/include/pollenloft/control.hpp
+++ b/include/pollenloft/control.hpp
@@ -149,6 +149,8 @@
     bool cut_off = false;  ///< from all endpoints
     std::string relay_address;
     std::string relay_key;
+    std::vector<wire::paused_endpoint> paused;  ///< at `renewed`
+    instant renewed{};
     std::map<std::string, wire::account_usage> usage;  ///< heavy accounts
   };
 
@@ -164,6 +166,13 @@
   /// Live VMs other than `vm` that accept relayed requests.
   auto relay_peers(const std::string& vm, instant now) const
       -> std::vector<wire::peer_record>;
+  /// VMs to which an endpoint pauses, and when the last of its pauses ends.
+  struct pause_summary {
+    std::size_t vms = 0;
+    instant until{};
+  };
+  /// The endpoints that pause, by id.
+  auto pauses(instant now) const -> std::map<std::string, pause_summary>;
   /// True if every live lease reports `version` or newer and the leases of
   /// earlier leaders have expired.
   auto in_force_everywhere(std::uint64_t version, instant now) const -> bool;
@@ -243,6 +252,10 @@
   /// Hash over id, incarnation and state of all endpoints, for comparing
   /// directories.
   auto digest() const -> std::uint64_t;
+  /// Marks this incarnation of an endpoint as leaving; false if it is not known
+  /// as up.
+  auto mark_leaving(const std::string& id, const std::string& incarnation)
+      -> bool;
   /// Marks an endpoint of any incarnation as gone; false if it is unknown or
   /// already gone.
   auto mark_gone(const std::string& id) -> bool;
--- a/include/pollenloft/engine.hpp
+++ b/include/pollenloft/engine.hpp
@@ -21,6 +21,8 @@
 /// Response header of an endpoint: requests per second that it takes from all
 /// VMs together, a decimal number.
 constexpr auto engine_limit_header = "Engine-Request-Limit";
+/// `yes` in all responses of an endpoint that leaves.
+constexpr auto engine_leaving_header = "Engine-Leaving";
 
 /// A dispatch of a model request to the head (first stage) of a chain.
 struct generate_call {
@@ -86,6 +88,10 @@
 /// The tag on all events of one dispatch.
 auto event_tag(const std::string& request, std::size_t attempt) -> std::string;
 
+/// What an endpoint states of itself in the head of a response.
+auto decode_engine_notices(int status, const http_headers& headers)
+    -> endpoint_notices;
+
 /// Which endpoint of a chain refused a dispatch and why.
 struct engine_refusal {
   std::string endpoint;  ///< id, empty if unknown
--- a/include/pollenloft/route.hpp
+++ b/include/pollenloft/route.hpp
@@ -16,6 +16,7 @@
 
 #include "pollenloft/core.hpp"
 #include "pollenloft/limit.hpp"
+#include "pollenloft/notice.hpp"
 
 namespace pollenloft {
 
@@ -116,7 +117,17 @@
   int kv_full = 0;       ///< KV cache is full
   int no_free_slot = 0;  ///< this VM uses all of its slots there
   int no_permit = 0;     ///< limits its requests; this VM has no permit
-  int avoided = 0;       ///< excluded by this request
+  int paused = 0;        ///< wants no requests of this VM now
+  int leaving = 0;       ///< said that it leaves
+  /// Until the first holder without a permit or in a pause may be tried.
+  std::optional<duration> wait{};
+  int avoided = 0;  ///< excluded by this request
+};
+
+/// Nothing but what endpoints state keeps a request from being sent.
+struct stated_wait {
+  duration time{};      ///< until an endpoint may be tried
+  bool paused = false;  ///< by pauses alone, not by request limits
 };
 
 class router {
@@ -135,6 +146,8 @@
   /// Permits for endpoints that limit their requests. `limiter` must outlive
   /// the router.
   auto set_limiter(request_limiter& limiter) -> void;
+  /// Endpoints that leave or pause. `notices` must outlive the router.
+  auto set_notices(notice_register& notices) -> void;
   /// This VM's share of the bandwidth between zones, in MB/s. All activations
   /// share these links, so cross-zone chains are kept for layer ranges that no
   /// zone holds completely.
@@ -151,10 +164,10 @@
   /// Why `choose` found no chain, by availability zone.
   auto shortages(const chain_request& request, instant now) const
       -> std::map<std::string, chain_shortage>;
-  /// Time until this VM may ask for a permit again, if nothing but limits of
-  /// endpoints keeps `choose` from finding a chain; empty otherwise.
-  auto permit_wait(const chain_request& request, instant now) const
-      -> std::optional<duration>;
+  /// How long nothing but limits and pauses of endpoints keeps `choose` from
+  /// finding a chain; empty if there is another reason.
+  auto wait_for_endpoints(const chain_request& request, instant now) const
+      -> std::optional<stated_wait>;
   /// The chain with other endpoints in place of `failed_endpoint`; empty if
   /// no endpoint can take over its layer range. Uses permits of new stages.
   auto replace_stage(const chain& stages, const std::string& failed_endpoint,
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -147,78 +147,6 @@
       });
 }
 
-// --- claims ----------------------------------------------------------------
-
-auto caller_request::send_claim() -> void {
-  wire::claim_record record;
-  record.account = params_.account;
-  record.key = params_.key;
-  record.fingerprint = static_cast<std::int64_t>(params_.fingerprint);
-  record.holder = host_.vm_incarnation();
-  record.dispatch = dispatch_id_;
-  host_.control().claim(record, params_.deadline - boottime_clock::now(),
-                        [weak_self = weak_from_this()](const auto& reply) {
-                          if (auto self = weak_self.lock())
-                            self->handle_claim_reply(reply);
-                        });
-}
-
-auto caller_request::handle_claim_reply(
-    const std::optional<wire::claim_reply>& reply) -> void {
-  // If no leader replied, the deadline timer ends the request.
-  if (!reply) return;
-  switch (static_cast<claim_answer>(reply->answer)) {
-    case claim_answer::granted:
-      return step(request_event::claim_granted);
-    case claim_answer::open:
-      return step(request_event::claim_held);
-    case claim_answer::settled:
-      settled_claim_ = reply->record;
-      return step(request_event::claim_settled);
-    case claim_answer::mismatch:
-      failure_reason_ = "the Idempotency-Key was used for another request";
-      failure_status_ = 422;
-      return step(request_event::claim_refused);
-    default:
-      failure_reason_ = "too many requests are being claimed";
-      return step(request_event::claim_refused);
-  }
-}
-
-auto caller_request::settle(claim_state state, int status,
-                            const std::string& body) -> void {
-  if (params_.idempotent || params_.key.empty()) return;
-  wire::settle_command command;
-  command.account = params_.account;
-  command.key = params_.key;
-  command.dispatch = dispatch_id_;
-  command.state = static_cast<std::int8_t>(state);
-  command.status = status;
-  command.body = body;
-  host_.control().settle(command);
-}
-
-/// Answers a repeated request with the recorded response of the first one.
-auto caller_request::replay_settled_response() -> void {
-  const auto completed =
-      settled_claim_->state == static_cast<std::int8_t>(claim_state::completed);
-  auto headers =
-      reply_headers(completed ? outcome::completed : outcome::unknown);
-  headers.add("Pollenloft-Replayed", "yes");
-  const auto& body = settled_claim_->body;
-  const auto newline = body.find('\n');
-  if (completed && newline != std::string::npos) {
-    headers.add("Content-Type", body.substr(0, newline));
-    exchange_->reply(settled_claim_->status, headers, body.substr(newline + 1));
-  } else if (completed) {
-    headers.add("Pollenloft-Body", "not-kept");
-    exchange_->reply(settled_claim_->status, headers, "");
-  } else {
-    exchange_->reply(502, headers, "It is unknown whether the request ran.\n");
-  }
-  host_.request_ended(shared_from_this());
-}
-
 // --- dispatch --------------------------------------------------------------
 
 auto caller_request::make_chain_request() const -> chain_request {
@@ -246,6 +174,7 @@
   dispatched_at_ = boottime_clock::now();
   host_.count_limited_dispatch(*stages_.front().endpoint);
   response_complete_ = false;
+  notices_ = {};
   attempt_first_token_ = tokens_;
   reader_ = event_reader(host_.disabled_mechanism() == "tags"
                              ? ""
@@ -280,7 +209,7 @@
   pending_call_ = host_.client().send(
       request, {[weak_self, attempt](int status, const auto& headers) {
                   if (auto self = weak_self.lock())
-                    self->observe_limit(attempt, status, headers);
+                    self->observe_notices(attempt, status, headers);
                 },
                 [weak_self, attempt](auto bytes) {
                   if (auto self = weak_self.lock())
@@ -293,129 +222,6 @@
   arm_stall_timer();
 }
 
-auto caller_request::observe_limit(std::size_t attempt, int status,
-                                   const http_headers& headers) -> void {
-  if (attempt != lifecycle_.attempt() || !dispatch_active_) return;
-  host_.control().observe_limit(
-      *stages_.front().endpoint, status,
-      parse_request_limit(headers.find_all(engine_limit_header)),
-      dispatched_at_);
-}
-
-auto caller_request::handle_engine_data(std::size_t attempt,
-                                        std::string_view bytes) -> void {
-  // Drops late events of an earlier attempt.
-  if (attempt != lifecycle_.attempt() || !dispatch_active_) return;
-  for (const auto& event : reader_.feed(bytes)) {
-    std::visit(
-        overloaded{[this](const token_event& token) { handle_token(token); },
-                   [this](const end_event& end) { handle_end(end); },
-                   [this](const stage_failure& failure) {
-                     handle_stage_failure(failure);
-                   }},
-        event);
-    if (attempt != lifecycle_.attempt() || !dispatch_active_ || ended()) return;
-  }
-}
-
-auto caller_request::handle_token(const token_event& token) -> void {
-  if (token.index < tokens_) return;
-  if (token.index > tokens_)
-    return handle_stage_failure(
-        {stages_.front().endpoint->id, "a token is missing"});
-  const auto now = boottime_clock::now();
-  if (tokens_ == 0)
-    host_.metrics_registry().observe("pollenloft_first_token_seconds",
-                                     now - params_.arrived);
-  else
-    host_.metrics_registry().observe("pollenloft_token_gap_seconds",
-                                     now - last_token_at_);
-  last_token_at_ = now;
-  if (lifecycle_.state() == "dispatched") step(request_event::began);
-  ++tokens_;
-  response_text_ += token.text;
-  if (params_.stream) stream_token(token);
-  arm_stall_timer();
-}
-
-auto caller_request::handle_end(const end_event& end) -> void {
-  if (end.tokens != tokens_)
-    return handle_stage_failure(
-        {stages_.front().endpoint->id, "tokens are missing at the end"});
-  host_.routes().learn(end.loads, stages_, boottime_clock::now());
-  response_complete_ = true;
-  if (pending_call_) pending_call_->cancel();
-  release_slots(dispatch_result::served, "");
-  step(request_event::completed);
-}
-
-auto caller_request::handle_stage_failure(const stage_failure& failure)
-    -> void {
-  if (pending_call_) pending_call_->cancel();
-  fail_attempt(failure.endpoint, failure.crashed,
-               {"engine.stream", failure.endpoint, failure.reason});
-}
-
-auto caller_request::handle_model_result(std::size_t attempt,
-                                         const call_result& result,
-                                         std::string_view body) -> void {
-  if (attempt != lifecycle_.attempt() || !dispatch_active_) return;
-  const auto& head = stages_.front().endpoint->id;
-  std::visit(
-      overloaded{
-          [&](const call_completed& completed) {
-            if (completed.status == 503) return handle_refusal(body);
-            if (completed.status == 200) handle_engine_data(attempt, body);
-            if (response_complete_ || !dispatch_active_ ||
-                attempt != lifecycle_.attempt())
-              return;
-            fail_attempt(head, false,
-                         {"engine.call", head,
-                          "answer " + std::to_string(completed.status) +
-                              " without an end"});
-          },
-          [this](const call_unsent& unsent) { handle_call_failure(unsent); },
-          [this](const call_interrupted& interrupted) {
-            handle_call_failure(interrupted);
-          }},
-      result);
-}
-
-/// The connection was not established, so nothing ran.
-auto caller_request::handle_call_failure(const call_unsent& unsent) -> void {
-  const auto endpoint = stages_.front().endpoint->id;
-  log_failure("endpoint.unreachable", unsent.cause);
-  avoided_endpoints_.insert(endpoint);
-  release_slots(dispatch_result::down, endpoint);
-  step(request_event::not_run);
-}
-
-/// The call may have reached the endpoint and run.
-auto caller_request::handle_call_failure(const call_interrupted& interrupted)
-    -> void {
-  const auto endpoint = stages_.front().endpoint;
-  const auto attempt = lifecycle_.attempt();
-  host_.crashes().detect_crash(
-      endpoint->address, [weak_self = weak_from_this(), attempt, endpoint,
-                          cause = interrupted.cause](bool crashed) {
-        auto self = weak_self.lock();
-        if (self && attempt == self->lifecycle_.attempt() &&
-            self->dispatch_active_)
-          self->fail_attempt(endpoint->id, crashed, cause);
-      });
-}
-
-auto caller_request::handle_refusal(std::string_view body) -> void {
-  const auto refusal = parse_refusal(body);
-  failure_reason_ = "the endpoints are busy";
-  const auto no_free_slot = refusal.reason == "full";
-  release_slots(no_free_slot ? dispatch_result::refused : dispatch_result::down,
-                refusal.endpoint);
-  if (no_free_slot) return step(request_event::busy);
-  avoided_endpoints_.insert(refusal.endpoint);
-  step(request_event::not_run);
-}
-
 auto caller_request::dispatch_plain() -> void {
   const auto& received = exchange_->request();
   http_call outgoing;
@@ -443,7 +249,7 @@
       {[weak_self, attempt](int status, const auto& headers) {
          auto self = weak_self.lock();
          if (!self || attempt != self->lifecycle_.attempt()) return;
-         self->observe_limit(attempt, status, headers);
+         self->observe_notices(attempt, status, headers);
          self->plain_status_ = status;
          self->plain_content_type_ = headers.find("Content-Type").value_or("");
          if (status == 503 && headers.find(engine_began_header) == "no")
--- a/src/caller_request.hpp
+++ b/src/caller_request.hpp
@@ -88,8 +88,8 @@
 
   auto dispatch_model() -> void;
   auto dispatch_plain() -> void;
-  auto observe_limit(std::size_t attempt, int status,
-                     const http_headers& headers) -> void;
+  auto observe_notices(std::size_t attempt, int status,
+                       const http_headers& headers) -> void;
   auto handle_engine_data(std::size_t attempt, std::string_view bytes) -> void;
   auto handle_token(const token_event& token) -> void;
   auto handle_end(const end_event& end) -> void;
@@ -131,6 +131,7 @@
   instant dispatched_at_{};
   bool dispatch_active_ = false;
   bool poison_suspect_ = false;
+  endpoint_notices notices_;        // of the present response
   bool response_complete_ = false;  // the engine has sent an end event
   event_reader reader_;
   std::set<std::string> avoided_endpoints_;
--- a/src/control_client.cpp
+++ b/src/control_client.cpp
@@ -26,12 +26,6 @@
   return std::chrono::duration_cast<milliseconds>(time).count();
 }
 
-auto per_second_of(std::int64_t per_1000_seconds) -> std::optional<double> {
-  constexpr double record_unit = 1000;
-  if (per_1000_seconds <= 0) return std::nullopt;
-  return static_cast<double>(per_1000_seconds) / record_unit;
-}
-
 /// Time since `start`; -1 if there is no start.
 auto elapsed_ms(std::optional<instant> start) -> std::int64_t {
   return start ? whole_ms(boottime_clock::now() - *start) : -1;
@@ -50,6 +44,7 @@
                       hash64(options_.vm)),
       crash_guard_(options_.vm),
       limiter_(hash64(options_.vm, hash64(options_.incarnation))),
+      notices_(limiter_, hash64(options_.incarnation)),
       crash_report_task_(loop, [this] { send_crash_reports(); }) {
   const auto replicas = [this]() -> const std::vector<socket_address>& {
     return options_.replicas;
@@ -111,6 +106,7 @@
   request.relay_address = options_.relay_address;
   request.relay_key = options_.relay_key;
   request.cut_off = cut_off_;
+  request.paused = notices_.paused(boottime_clock::now());
   if (usage_source_) request.usage = usage_source_();
   http_call call{options_.replicas[target_],
                  "POST",
@@ -173,8 +169,8 @@
   lease_until_ = sent + lease - lease / clock_drift_divisor;
   vm_count_ = static_cast<std::size_t>(reply->vm_count);
   directory_sequence_ = reply->directory_sequence;
-  limiter_.set_vm_count(vm_count_);
-  apply_limits(reply->endpoints);
+  notices_.set_vm_count(vm_count_);
+  notices_.apply_directory(reply->endpoints);
   usage_.clear();
   for (const auto& usage : reply->usage)
     usage_[usage.account] = usage;
@@ -185,24 +181,6 @@
   renew();
 }
 
-auto control_client::apply_limits(
-    const std::vector<wire::endpoint_record>& records) -> void {
-  for (const auto& record : records) {
-    if (record.state == static_cast<std::int8_t>(endpoint_state::gone)) {
-      limiter_.forget(record.id);
-      continue;
-    }
-    const auto limit = per_second_of(record.request_limit);
-    const auto change = limiter_.announce(record.id, record.incarnation, limit);
-    if (change == limit_change::none) continue;
-    log_event(log_level::info, limit_change_name(change),
-              {{"endpoint", record.id},
-               {"incarnation", record.incarnation},
-               {"per_second", limit.value_or(0)},
-               {"source", "directory"}});
-  }
-}
-
 auto control_client::request_permits() -> void {
   const auto now = boottime_clock::now();
   const auto wants = limiter_.next_wants(now);
@@ -281,30 +259,6 @@
     report_crash(survival);
 }
 
-auto control_client::observe_limit(const endpoint_view& endpoint, int status,
-                                   const limit_field& field, instant asked)
-    -> void {
-  if (const auto* unreadable = std::get_if<unreadable_request_limit>(&field))
-    return log_event(log_level::warning, "limit.unreadable",
-                     {{"endpoint", endpoint.id}, {"value", unreadable->text}});
-  const auto* named = std::get_if<request_limit>(&field);
-  // A refusal or an error may come from a layer that knows of no limit.
-  if (named == nullptr && status / 100 != 2) return;
-  const auto now = boottime_clock::now();
-  const limit_statement statement{
-      endpoint.id, endpoint.incarnation,
-      named == nullptr ? std::nullopt : std::optional(named->per_second), asked,
-      now};
-  const auto change = limiter_.observe(statement);
-  if (change == limit_change::none) return;
-  log_event(log_level::info, limit_change_name(change),
-            {{"endpoint", endpoint.id},
-             {"incarnation", endpoint.incarnation},
-             {"per_second", statement.per_second.value_or(0)},
-             {"status", status},
-             {"asked_age_ms", whole_ms(now - asked)}});
-}
-
 auto control_client::add_replicas(const std::vector<socket_address>& replicas)
     -> void {
   for (const auto& replica : replicas) {
--- a/src/control_client.hpp
+++ b/src/control_client.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "notice_monitor.hpp"
 #include "pollenloft/control.hpp"
 #include "pollenloft/limit.hpp"
 #include "pollenloft/net.hpp"
@@ -84,10 +85,8 @@
   auto limiter() -> request_limiter& { return limiter_; }
   /// Asks the leader for permits if some are wanted; called often.
   auto request_permits() -> void;
-  /// Takes what a response with this status says of the limit of its endpoint.
-  /// `asked` is when the request was sent.
-  auto observe_limit(const endpoint_view& endpoint, int status,
-                     const limit_field& field, instant asked) -> void;
+  /// What endpoints state of themselves, as this VM knows it.
+  auto notices() -> notice_monitor& { return notices_; }
   auto set_usage_source(usage_source source) -> void {
     usage_source_ = std::move(source);
   }
@@ -144,7 +143,6 @@
   auto record_announcement(std::int64_t number, instant sent) -> void;
   /// Sets when the document held was last known to be the newest.
   auto confirm_document() -> void;
-  auto apply_limits(const std::vector<wire::endpoint_record>& records) -> void;
   auto handle_permit_reply(instant sent, const call_result& result,
                            std::string_view body) -> void;
   auto apply_suspects(const wire::renew_reply& reply) -> void;
@@ -187,6 +185,7 @@
   std::map<std::string, wire::account_usage> usage_;
   crash_guard crash_guard_;
   request_limiter limiter_;
+  notice_monitor notices_;
   posted_task crash_report_task_;
   std::int64_t suspects_digest_ = 0;  // of the records last received
   renewal_counters renewals_;
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "control_gateway.hpp"
+#include "control_settings.hpp"
 #include "directory_store.hpp"
 #include "layer_placer.hpp"
 #include "operator_views.hpp"
@@ -70,39 +71,6 @@
 /// A tick that starts later than this after the previous one is logged.
 constexpr auto max_tick_delay = milliseconds(100);
 
-const std::vector<setting> known_settings{
-    {"id", "0", number_range{0, UINT32_MAX},
-     "number of this replica, a key of --peers; 0 derives it from the address"},
-    {"listen", "", required_address{}, "address to serve on"},
-    {"peers", "", named_address_list{}, "all replicas, id=a.b.c.d:port,..."},
-    {"seeds", "", socket_address_list{},
-     "instead of --peers: VMs that form the initial group; their replicas "
-     "listen on the port of --listen and are numbered by their addresses"},
-    {"bootstrap", "true", one_of{{"true", "false"}},
-     "whether replicas with empty disks may form a new cluster"},
-    {"tolerate-losses", "1", number_range{0, 9},
-     "number n of replicas that may be lost at once with their disks; with "
-     "--seeds the group grows to 2n + 1 replicas"},
-    {"platform-listen", "", optional_address{},
-     "address for the platform's operators and endpoints"},
-    {"link-mbps", "1000", decimal_range{0.1, 1000000},
-     "bandwidth of this VM's link; bulk transfers use up to half of it"},
-    {"metrics-listen", "", optional_address{},
-     "additional address that serves /metrics"},
-    {"report-period-ms", "1200", decimal_range{50, 600000},
-     "interval of the platform endpoints' reports"},
-    {"data", "", nonempty_text{}, "directory of the replicated log"},
-    {"lease-ms", "1500", number_range{300, 60000},
-     "duration of a configuration lease"},
-    {"heartbeat-ms", "100", number_range{10, 5000},
-     "interval of the leader's heartbeats"},
-    {"election-ms", "300", number_range{50, 30000},
-     "minimum election timeout; at most half the lease"},
-    {"switch-off", "none", one_of{{"none", "lease-wait"}},
-     "for checks only: disables one mechanism, so that its check must fail"},
-    {"log-level", "info", one_of{{"debug", "info", "warning", "error"}},
-     "minimum level to log"}};
-
 auto json_reply(const exchange_ptr& call, int status, const json& body)
     -> void {
   http_headers headers;
@@ -831,7 +799,9 @@
       return json_reply(call, 200, crashes_view(state_.crashes()));
     if (post && path == "/v1/crashes/clear") return handle_clear(call);
     if (path == "/v1/endpoints")
-      return json_reply(call, 200, endpoints_view(directory_));
+      return json_reply(
+          call, 200,
+          endpoints_view(directory_, leases_, boottime_clock::now()));
     json_reply(call, 404, {{"error", "no such resource: " + path}});
   }
 
@@ -1087,11 +1057,24 @@
     wire::report_reply reply;
     reply.leader = leader_address();
     reply.accepted = is_active_leader();
-    if (reply.accepted) directory_.merge(request->endpoints);
+    if (reply.accepted) merge_reported(request->endpoints);
     wire_reply(call, reply);
     reply_task_.schedule();
   }
 
+  /// The other control VMs must know what entry VMs report, since one of them
+  /// may lead next.
+  auto merge_reported(const std::vector<wire::endpoint_record>& records)
+      -> void {
+    std::set<std::string> changed;
+    for (const auto& record : records) {
+      const auto before = directory_.sequence();
+      directory_.merge({record});
+      if (directory_.sequence() != before) changed.insert(record.id);
+    }
+    if (gateway_ && !changed.empty()) gateway_->publish(changed);
+  }
+
   /// Each VM gets other peers, so that those of many VMs spread their requests.
   auto handle_peers(const exchange_ptr& call) -> void {
     const auto request = decode_body<wire::peers_request>(call);
@@ -1515,8 +1498,8 @@
 }
 
 auto run(int argc, char** argv) -> int {
-  auto parsed = parse_settings("pollenloft-controld [settings]", known_settings,
-                               argc, argv);
+  auto parsed = parse_settings("pollenloft-controld [settings]",
+                               control_settings(), argc, argv);
   if (auto* code = std::get_if<int>(&parsed)) return *code;
   const auto& values = std::get<settings>(parsed);
   if (!validate_combinations(values)) return 2;
@@ -1535,8 +1518,8 @@
   log_event(log_level::info, "started", {{"listen", values.text("listen")}});
   const auto terminate = loop.on_signal(SIGTERM, [&] { server.shut_down(); });
   const auto interrupt = loop.on_signal(SIGINT, [&] { server.shut_down(); });
-  settings_reloader reloader("pollenloft-controld [settings]", known_settings,
-                             argc, argv);
+  settings_reloader reloader("pollenloft-controld [settings]",
+                             control_settings(), argc, argv);
   const auto reload = [&] {
     if (const auto changed = reloader.reload_if_changed())
       server.set_seeds(changed->address_list("seeds"));
--- a/src/dispatch_host.hpp
+++ b/src/dispatch_host.hpp
@@ -26,6 +26,7 @@
   virtual auto client() -> http_client& = 0;
   virtual auto metrics_registry() -> metrics& = 0;
   virtual auto control() -> control_client& = 0;
+  auto notices() -> notice_monitor& { return control().notices(); }
   virtual auto routes() -> router& = 0;
   virtual auto crashes() -> crash_monitor& = 0;
   /// Queues a request; `requeued` puts one that was dispatched before at the
--- a/src/engine.cpp
+++ b/src/engine.cpp
@@ -117,6 +117,16 @@
   return events;
 }
 
+auto decode_engine_notices(int status, const http_headers& headers)
+    -> endpoint_notices {
+  endpoint_notices notices;
+  notices.limit = parse_request_limit(headers.find_all(engine_limit_header));
+  notices.leaving = headers.find(engine_leaving_header) == "yes";
+  if (status == 503)
+    notices.pause = parse_pause(headers.find_all("Retry-After"));
+  return notices;
+}
+
 auto parse_refusal(std::string_view body) -> engine_refusal {
   const auto parsed = json::parse(body, nullptr, false);
   if (!parsed.is_object()) return {"", "refused"};
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -15,20 +15,11 @@
 constexpr auto tick_period = milliseconds(20);
 // How long endpoints stay in use that the directory of a new leader lacks.
 constexpr auto unconfirmed_grace = std::chrono::seconds(3);
-// Time for the last responses to be sent after open requests were ended.
-constexpr auto flush_timeout = milliseconds(400);
-// Time for reports to the leader to be acknowledged after the last request.
-constexpr auto report_flush_timeout = std::chrono::seconds(1);
 constexpr std::size_t max_open_requests = 8000;
+// Requests wait no longer than this for endpoints that pause.
+constexpr auto max_pause_wait = milliseconds(250);
 constexpr std::size_t max_idempotency_key_bytes = 200;
 constexpr std::size_t max_prompt_bytes = 256 * 1024;
-// Usage reported to the leader: the heaviest accounts of this VM, with rates
-// that are exponential moving averages over windows of `usage_window_s`.
-constexpr std::size_t max_reported_accounts = 8;
-constexpr double usage_window_s = 0.2;
-constexpr double usage_smoothing = 0.4;  // weight of the newest window
-// Period of adjusting the rate limits of accounts above their fair share.
-constexpr auto rate_limit_period = milliseconds(100);
 // Share of the slots of each endpoint that accounts above their fair share
 // leave to the others.
 constexpr double small_account_slot_share = 0.15;
@@ -64,6 +55,7 @@
       endpoint_owner_(options_.vm, options_.listen.text()),
       router_(options_.routing, options_.seed),
       queues_(options_.max_queued, options_.seed),
+      random_(options_.seed),
       dispatch_task_(loop_, [this] { dispatch_queued(); }) {
   if (options_.disabled_mechanism == "blame") crashes_.disable();
   control_.config_changed.connect([this] { apply_config(); });
@@ -72,6 +64,9 @@
         apply_endpoints(records, complete);
       });
   router_.set_limiter(control_.limiter());
+  router_.set_notices(control_.notices().endpoints());
+  control_.notices().leaving.connect(
+      [this](const auto& id) { report_leaving(id); });
   control_.permits_granted.connect([this] { dispatch_task_.schedule(); });
   control_.leader_changed.connect([this] {
     const auto owned = endpoint_owner_.records();
@@ -245,53 +240,6 @@
   request->start();
 }
 
-auto entry_server::show_metrics(const exchange_ptr& call) -> void {
-  metrics_.set("pollenloft_requests_open",
-               static_cast<double>(requests_.size()));
-  const auto responses = loop_.unfinished();
-  metrics_.set("pollenloft_unsent_responses",
-               static_cast<double>(responses.unsent));
-  metrics_.set("pollenloft_unsent_response_bytes",
-               static_cast<double>(responses.unsent_bytes));
-  metrics_.set("pollenloft_config_version",
-               static_cast<double>(control_.config().version));
-  metrics_.set("pollenloft_document_number",
-               static_cast<double>(control_.document().number));
-  const auto& renewals = control_.renewals();
-  const auto set_renewals = [this](const std::string& name,
-                                   const std::string& result,
-                                   std::uint64_t count) {
-    metrics_.set(name, static_cast<double>(count), "result=\"" + result + "\"");
-  };
-  set_renewals("pollenloft_renewals_total", "completed", renewals.completed);
-  set_renewals("pollenloft_renewals_total", "interrupted",
-               renewals.interrupted);
-  set_renewals("pollenloft_renewals_total", "refused", renewals.refused);
-  set_renewals("pollenloft_renewal_bytes_total", "completed",
-               renewals.received_bytes);
-  set_renewals("pollenloft_renewal_bytes_total", "interrupted",
-               renewals.interrupted_bytes);
-  const auto& limiter = control_.limiter();
-  for (const auto& [id, limit] : limiter.limits().statements()) {
-    const auto label = "endpoint=\"" + id + "\"";
-    metrics_.set("pollenloft_request_limit_per_second",
-                 limit.per_second.value_or(NAN), label);
-    metrics_.set("pollenloft_request_permits",
-                 static_cast<double>(limiter.permits(id)), label);
-  }
-  metrics_.set("pollenloft_request_permits_used_total",
-               static_cast<double>(limiter.used()));
-  metrics_.set("pollenloft_crash_suspects",
-               static_cast<double>(crashes_.guard().size()));
-  metrics_.set("pollenloft_ready", ready() ? 1 : 0);
-  metrics_.set("pollenloft_endpoints_known",
-               static_cast<double>(router_.size()));
-  for (const auto& [service, queue] : queues_)
-    metrics_.set("pollenloft_queue_length", static_cast<double>(queue.size()),
-                 "service=\"" + service + "\"");
-  call->reply(200, {}, metrics_.text());
-}
-
 // --- configuration and endpoints -------------------------------------------
 
 auto entry_server::apply_config() -> void {
@@ -341,6 +289,14 @@
     router_.remove(record.id);
 }
 
+auto entry_server::report_leaving(const std::string& id) -> void {
+  const auto found = directory_.find(id);
+  if (found == directory_.end()) return;
+  auto record = found->second;
+  record.state = static_cast<std::int8_t>(endpoint_state::leaving);
+  control_.report({record});
+}
+
 auto entry_server::expire_unconfirmed() -> void {
   const auto now = boottime_clock::now();
   for (auto it = unconfirmed_.begin(); it != unconfirmed_.end();) {
@@ -428,12 +384,25 @@
       blocked_accounts.insert(account);
       continue;
     }
+    if (!stages && refuse_held_up(request, now)) continue;
     if (!stages) return;
     queue.remove(*id, true);
     request->dispatch(std::move(*stages));
   }
 }
 
+auto entry_server::refuse_held_up(const caller_request_ptr& request,
+                                  instant now) -> bool {
+  const auto wait =
+      router_.wait_for_endpoints(request->make_chain_request(), now);
+  if (!wait || !wait->paused || wait->time <= max_pause_wait) return false;
+  dequeue(request);
+  metrics_.add("pollenloft_paused_refusals_total");
+  request->refuse("the endpoints want no requests now",
+                  retry_after_pause(wait->time, random_.unit()));
+  return true;
+}
+
 auto entry_server::refuse_queued(const std::string& reason,
                                  milliseconds retry_after) -> void {
   std::vector<caller_request_ptr> queued;
@@ -456,139 +425,4 @@
   control_.request_permits();
 }
 
-/// Usage of the heaviest accounts on this VM: the moving average of tokens per
-/// second and the cost of the queued requests.
-auto entry_server::recent_usage() -> std::vector<wire::account_usage> {
-  const auto now = boottime_clock::now();
-  const auto elapsed =
-      std::chrono::duration<double>(now - usage_window_start_).count();
-  if (elapsed > usage_window_s) {
-    for (auto& [account, rate] : usage_rate_)
-      rate *= 1 - usage_smoothing;
-    for (const auto& [account, tokens] : tokens_used_)
-      usage_rate_[account] += usage_smoothing * tokens / elapsed;
-    tokens_used_.clear();
-    usage_window_start_ = now;
-  }
-  std::map<std::string, wire::account_usage> usage_by_account;
-  for (const auto& [account, rate] : usage_rate_)
-    usage_by_account[account].cost = rate;
-  for (const auto& [service, queue] : queues_)
-    for (const auto& [account, cost] : queue.queued_cost_by_account())
-      usage_by_account[account].waiting += cost;
-  std::vector<wire::account_usage> heaviest;
-  for (auto& [account, usage] : usage_by_account) {
-    usage.account = account;
-    heaviest.push_back(std::move(usage));
-  }
-  std::sort(heaviest.begin(), heaviest.end(), [](const auto& a, const auto& b) {
-    return a.cost + a.waiting > b.cost + b.waiting;
-  });
-  if (heaviest.size() > max_reported_accounts)
-    heaviest.resize(max_reported_accounts);
-  return heaviest;
-}
-
-/// Lowers the rate limits of accounts above their fair share on this VM while
-/// an account below its share has requests queued on any VM. All other limits
-/// are raised step by step and lifted once the account stays far below them.
-auto entry_server::limit_heavy_accounts(instant now) -> void {
-  if (now - rate_limits_updated_ < rate_limit_period) return;
-  rate_limits_updated_ = now;
-  std::vector<account_load> loads;
-  for (const auto& [name, usage] : control_.cluster_usage()) {
-    const auto* account = control_.config().accounts.find(name);
-    if (account == nullptr) continue;
-    loads.push_back({name, (*account)->weight, usage.cost, usage.waiting});
-  }
-  auto above_share = accounts_over_share(loads);
-  accounts_above_share_.clear();
-  for (const auto& load : above_share)
-    accounts_above_share_.insert(load.account);
-  if (!any_account_below_share(loads)) above_share.clear();
-  const auto vms =
-      static_cast<double>(std::max<std::size_t>(1, control_.vm_count()));
-  for (auto& [service, queue] : queues_) {
-    const auto rates_of = [&, &limits = queue](const account_load& load) {
-      return account_rates{limits.rate_limit_of(load.account),
-                           usage_rate_[load.account],
-                           fair_share_of(loads, load.weight) / vms};
-    };
-    std::set<std::string> limited;
-    for (const auto& load : above_share) {
-      limited.insert(load.account);
-      queue.set_rate_limit(load.account, lowered_rate_limit(rates_of(load)),
-                           now);
-    }
-    for (const auto& load : loads)
-      if (limited.count(load.account) == 0)
-        queue.set_rate_limit(load.account, raised_rate_limit(rates_of(load)),
-                             now);
-  }
-}
-
-// --- shutdown --------------------------------------------------------------
-
-auto entry_server::shut_down() -> void {
-  if (options_.disabled_mechanism == "drain") return loop_.stop();
-  if (shutting_down_) return;
-  shutting_down_ = true;
-  log_drain(log_level::info, "drain.started");
-  phase_ = drain_phase::notice;
-  drain_timer_ = loop_.after(options_.drain_notice, [this] {
-    phase_ = drain_phase::refusing;
-    server_.close_listener();
-    drain_timer_ = loop_.every(tick_period, [this] { finish_drain(); });
-  });
-  grace_end_ = boottime_clock::now() + options_.grace;
-  grace_timer_ = loop_.after(options_.grace, [this] { end_open_requests(); });
-}
-
-auto entry_server::finish_drain() -> void {
-  if (open_requests() > 0 || control_.pending_settlements() > 0) return;
-  log_drain(log_level::info, "drain.finished");
-  drain_timer_ = timer();
-  const auto now = boottime_clock::now();
-  loop_.finish(grace_end_ - now, [this, until = now + report_flush_timeout] {
-    return control_.pending_reports() > 0 && boottime_clock::now() < until;
-  });
-}
-
-auto entry_server::open_requests() const -> std::size_t {
-  return requests_.size() + (other_open_requests_ ? other_open_requests_() : 0);
-}
-
-auto entry_server::log_drain(log_level level, const char* event) const -> void {
-  const auto responses = loop_.unfinished();
-  log_event(level, event,
-            {{"open_requests", open_requests()},
-             {"pending_reports", control_.pending_reports()},
-             {"open_responses", responses.open},
-             {"unsent_responses", responses.unsent},
-             {"unsent_bytes", responses.unsent_bytes}});
-}
-
-auto entry_server::shut_down_now() -> void {
-  if (options_.disabled_mechanism == "drain" || !shutting_down_)
-    return shut_down();
-  end_open_requests();
-}
-
-auto entry_server::end_open_requests() -> void {
-  phase_ = drain_phase::refusing;
-  server_.close_listener();
-  log_drain(log_level::warning, "drain.requests_ended");
-  std::vector<caller_request_ptr> open;
-  for (const auto& [id, request] : requests_)
-    open.push_back(request);
-  for (const auto& request : open)
-    request->step(request_event::deadline);
-  ending_open_requests.emit();
-  drain_timer_ = timer();
-  grace_timer_ = timer();
-  loop_.finish(flush_timeout, [this] {
-    return control_.pending_settlements() + control_.pending_reports() > 0;
-  });
-}
-
 }  // namespace pollenloft
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -106,6 +106,7 @@
   auto start_request(const exchange_ptr& call, request_parameters parameters)
       -> void;
 
+  auto show_notices() -> void;
   auto apply_config() -> void;
   auto apply_endpoints(const std::vector<wire::endpoint_record>& records,
                        bool complete) -> void;
@@ -113,6 +114,10 @@
   auto expire_unconfirmed() -> void;
   auto dispatch_queued() -> void;
   auto dispatch_from_queue(fair_queue& queue, instant now) -> void;
+  /// Tells the leader that an endpoint leaves.
+  auto report_leaving(const std::string& id) -> void;
+  /// As `front_server::refuse_held_up`.
+  auto refuse_held_up(const caller_request_ptr& request, instant now) -> bool;
   auto refuse_queued(const std::string& reason, milliseconds retry_after)
       -> void;
   auto tick() -> void;
@@ -145,6 +150,7 @@
   bool had_lease_ = false;
   request_id next_request_ = 0;
   service_queues queues_;
+  random_source random_;
   posted_task dispatch_task_;
   std::unordered_map<request_id, caller_request_ptr> requests_;
   std::map<std::string, wire::endpoint_record> directory_;
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -10,26 +10,10 @@
 /// Endpoints are a fraction of a millisecond away, so a connection that takes
 /// this long will not be established.
 constexpr auto connect_timeout = milliseconds(400);
-/// Runners abort work that depends on an unreachable runner by themselves. A
-/// stream that pauses this long is resumed before they do.
-constexpr auto first_event_timeout = milliseconds(1800);
-constexpr auto event_timeout = milliseconds(1500);
-/// Timeout for the response to a repeatable plain request, as a multiple of the
-/// route's latency objective.
-constexpr int response_timeout_factor = 3;
-constexpr auto min_response_timeout = milliseconds(300);
-/// A stream is aborted when its caller leaves more bytes than this unread.
-constexpr std::size_t max_unread_bytes = 1024 * 1024;
-/// Callers abandon a stream that pauses for 2 s. Detecting the failure and
-/// prefilling the tokens on the new stages use up the rest of that time.
-constexpr auto repair_timeout = milliseconds(900);
-constexpr auto repair_retry_interval = milliseconds(100);
 /// On a VM in use, other requests deposit retries many times a second.
 constexpr auto budget_poll_interval = milliseconds(50);
 constexpr double bytes_per_mb = 1e6;
 constexpr std::int32_t max_priority = 9;
-/// Refusals for want of capacity arrive sooner than this.
-constexpr auto slow_refusal_threshold = milliseconds(500);
 
 auto to_ms(duration d) -> milliseconds {
   return std::chrono::duration_cast<milliseconds>(d);
@@ -220,160 +204,6 @@
   pending_call_ = host_.client().send(call, std::move(handlers));
 }
 
-auto front_request::handle_headers(std::size_t attempt, int status,
-                                   const http_headers& headers) -> void {
-  if (attempt != lifecycle_.attempt() || !dispatch_active_) return;
-  response_.status = status;
-  response_.headers =
-      without_relay_headers(platform::encode_response_headers(headers));
-  response_head_ = platform::decode_response_head(status, headers);
-  if (peer_) {
-    relay_refusal_ = headers.find(relay_refused_header);
-    return;
-  }
-  if (!answers_other_request() && !response_head_.misdirected)
-    host_.control().observe_limit(*stages_.front().endpoint, status,
-                                  response_head_.limit, dispatched_at_);
-}
-
-auto front_request::answers_other_request() const -> bool {
-  return !response_head_.request_id.empty() &&
-         response_head_.request_id != params_.headers.request_id;
-}
-
-auto front_request::handle_data(std::size_t attempt, std::string_view bytes)
-    -> void {
-  if (attempt != lifecycle_.attempt() || !dispatch_active_) return;
-  if (answers_other_request())
-    return fail_attempt({"answer.head", stages_.front().endpoint->id,
-                         "the answer is for another request"});
-  const auto searched = partial_event_.size();
-  partial_event_ += bytes;
-  if (partial_event_.size() > max_event_bytes)
-    return fail_attempt(
-        {"answer.event", stages_.front().endpoint->id, "an event is too long"});
-  forward_complete_events(searched);
-}
-
-/// Forwards complete events. An interrupted event is generated again by the
-/// endpoint that resumes the stream. The first `searched` bytes contain no end
-/// of an event.
-auto front_request::forward_complete_events(std::size_t searched) -> void {
-  std::string complete_events;
-  auto gap = false;
-  std::size_t begin = 0;
-  const auto from = searched == 0 ? 0 : searched - 1;
-  for (auto end = partial_event_.find("\n\n", from);
-       !gap && end != std::string::npos;
-       end = partial_event_.find("\n\n", begin)) {
-    const auto event =
-        std::string_view(partial_event_).substr(begin, end + 2 - begin);
-    begin = end + 2;
-    const auto id = platform::parse_event_id(event);
-    if (id && last_event_id_ && *id <= *last_event_id_) continue;
-    gap = id && last_event_id_ && *id > *last_event_id_ + 1;
-    if (gap) break;
-    if (id) last_event_id_ = id;
-    ++events_forwarded_;
-    complete_events += event;
-  }
-  partial_event_.erase(0, begin);
-  if (events_forwarded_ >= attempt_first_event_ + survival_events)
-    record_part_survival();
-  if (!complete_events.empty()) forward(complete_events);
-  if (gap && dispatch_active_)
-    fail_attempt(
-        {"answer.event", stages_.front().endpoint->id, "an event is missing"});
-}
-
-auto front_request::forward(const std::string& events) -> void {
-  if (lifecycle_.state() == "dispatched") step(request_event::began);
-  if (!exchange_->started()) {
-    host_.metrics_registry().observe("pollenloft_first_event_seconds",
-                                     boottime_clock::now() - params_.arrived);
-    auto headers = response_.headers;
-    if (host_.draining()) headers.add("Connection", "close");
-    exchange_->start(response_.status, headers);
-  }
-  arm_stall_timer();
-  if (exchange_->chunk(events) <= max_unread_bytes) return;
-  log_event(log_level::warning, "caller.too_slow",
-            {{"id", params_.headers.request_id}});
-  exchange_->abort();
-  step(request_event::caller_gone);
-}
-
-auto front_request::handle_done(std::size_t attempt, const call_result& result,
-                                std::string_view body) -> void {
-  if (attempt != lifecycle_.attempt() || !dispatch_active_) return;
-  std::visit(overloaded{[&](const call_completed&) { handle_response(body); },
-                        [this](const call_unsent& unsent) {
-                          handle_unsent(unsent.cause);
-                        },
-                        [this](const call_interrupted& interrupted) {
-                          handle_interruption(interrupted.cause);
-                        }},
-             result);
-}
-
-auto front_request::handle_response(std::string_view body) -> void {
-  if (answers_other_request())
-    return fail_attempt({"answer.head", stages_.front().endpoint->id,
-                         "the answer is for another request"});
-  if (relay_refusal_) return handle_relay_refusal(*relay_refusal_);
-  if (response_head_.not_run && !peer_) return handle_refusal();
-  response_.body = body;
-  const auto failed = response_.status >= 500;
-  if (failed && !peer_ && params_.route->may_repeat() &&
-      !exchange_->started()) {
-    failed_response_ = response_;
-    return fail_attempt({"answer.status", stages_.front().endpoint->id,
-                         std::to_string(response_.status)});
-  }
-  if (is_stream() && response_.status == 200 && !partial_event_.empty())
-    return fail_attempt({"answer.event", stages_.front().endpoint->id,
-                         "the last event is not whole"});
-  // An endpoint that answers with an error may not have run the request.
-  if (!failed && !peer_) {
-    host_.crashes().record_survival(params_.fingerprint);
-    const auto wrote = !is_stream() || events_forwarded_ > attempt_first_event_;
-    if (response_.status == 200 && wrote) record_part_survival();
-  }
-  release_slots(dispatch_result::served, "");
-  step(request_event::completed);
-}
-
-auto front_request::endpoint_by_address(const std::string& address) const
-    -> std::string {
-  for (const auto& stage : stages_)
-    if (stage.endpoint->address.text() == address) return stage.endpoint->id;
-  return stages_.front().endpoint->id;
-}
-
-/// Handles a response in which the endpoint proves that nothing ran.
-auto front_request::handle_refusal() -> void {
-  const auto failed_endpoint =
-      endpoint_by_address(response_head_.failed_address);
-  end_reason_ = "the endpoints have no place";
-  avoided_endpoints_.insert(failed_endpoint);
-  // A runner that does not hold its layer range, or whose refusal took as long
-  // as the timeout of an unreachable neighbour, counts as down. A runner
-  // without capacity is retried soon.
-  const auto slow =
-      boottime_clock::now() - dispatched_at_ > slow_refusal_threshold;
-  const auto full =
-      (response_.status == 503 || response_.status == 429) && !slow;
-  log_event(log_level::info, "request.refused_by_endpoint",
-            {{"id", params_.headers.request_id},
-             {"fingerprint", fingerprint_text(params_.fingerprint)},
-             {"attempt", lifecycle_.attempt()},
-             {"endpoint", failed_endpoint},
-             {"status", response_.status}});
-  release_slots(full ? dispatch_result::refused : dispatch_result::down,
-                failed_endpoint);
-  continue_after(request_event::not_run);
-}
-
 /// A stream in flight waits while the retry budget is used up. Aborting here
 /// would end the stream at once, whereas a caller that finds the pause too long
 /// cancels by itself.
@@ -514,7 +344,11 @@
   end_reason_ = "an endpoint failed while running the request";
   // Any stage of a chain may have failed; the head only reports the failure.
   if (stages_.size() == 1) avoided_endpoints_.insert(endpoint);
-  release_slots(dispatch_result::failed, endpoint);
+  // An endpoint that asks for a pause is alive.
+  release_slots(asks_for_pause(response_head_.notices)
+                    ? dispatch_result::refused
+                    : dispatch_result::failed,
+                endpoint);
 }
 
 auto front_request::release_slots(dispatch_result result,
@@ -529,135 +363,6 @@
                       result == dispatch_result::served ? cost() : 0);
 }
 
-auto front_request::stall_timeout() const -> duration {
-  if (!is_stream())
-    return std::max<duration>(
-        min_response_timeout,
-        response_timeout_factor * params_.route->latency_objective);
-  return lifecycle_.state() == "streaming" ? duration(event_timeout)
-                                           : duration(first_event_timeout);
-}
-
-auto front_request::arm_stall_timer() -> void {
-  // The VM that has a relayed request watches over its endpoints.
-  if (!params_.route->may_repeat() || peer_) return;
-  stall_timer_ = host_.loop().after(stall_timeout(), [self = weak_from_this()] {
-    if (auto request = self.lock()) request->handle_stall();
-  });
-}
-
-auto front_request::handle_endpoint_failure(const std::string& id) -> void {
-  const auto affected =
-      dispatch_active_ &&
-      std::any_of(stages_.begin(), stages_.end(),
-                  [&](const auto& stage) { return stage.endpoint->id == id; });
-  if (!affected || !params_.route->may_repeat()) return;
-  avoided_endpoints_.insert(id);
-  chain failed;
-  std::copy_if(stages_.begin(), stages_.end(), std::back_inserter(failed),
-               [&](const auto& stage) { return stage.endpoint->id == id; });
-  attribute_crash(failed, [this, id] {
-    repair_or_abandon(id, boottime_clock::now() + repair_timeout);
-  });
-}
-
-/// The layers of the failed endpoint are being loaded elsewhere in the zone.
-/// Waiting for them costs less than prefilling prompt and output on another
-/// chain.
-auto front_request::repair_or_abandon(const std::string& failed_endpoint,
-                                      instant until) -> void {
-  if (!dispatch_active_) return;
-  if (stopped_by_crashes())
-    return fail_attempt(
-        {"chain.repair", failed_endpoint, "the request crashed endpoints"});
-  if (repair_chain(failed_endpoint)) return;
-  const auto can_wait = params_.engine != nullptr && events_forwarded_ > 0 &&
-                        stages_.front().endpoint->id != failed_endpoint &&
-                        boottime_clock::now() < until;
-  if (!can_wait) return handle_stall();
-  const auto attempt = lifecycle_.attempt();
-  repair_timer_ = host_.loop().after(
-      repair_retry_interval,
-      [self = weak_from_this(), failed_endpoint, until, attempt] {
-        auto request = self.lock();
-        if (request && request->lifecycle_.attempt() == attempt)
-          request->repair_or_abandon(failed_endpoint, until);
-      });
-}
-
-/// The runner at the head keeps the request. The new stages prefill the tokens
-/// so far, and the other stages keep their KV cache.
-auto front_request::repair_chain(const std::string& failed_endpoint) -> bool {
-  if (params_.engine == nullptr ||
-      stages_.front().endpoint->id == failed_endpoint)
-    return false;
-  auto repaired = host_.routes().replace_stage(
-      stages_, failed_endpoint, make_chain_request(), boottime_clock::now());
-  if (!repaired) return false;
-  host_.routes().dispatch_ended(stages_, poison_suspect_,
-                                dispatch_result::abandoned, "",
-                                boottime_clock::now());
-  stages_ = std::move(*repaired);
-  exposure_ = {boottime_clock::now()};
-  host_.routes().dispatch_started(stages_, poison_suspect_, tokens(),
-                                  boottime_clock::now());
-  log_event(log_level::info, "chain.mended",
-            {{"id", params_.headers.request_id},
-             {"lost", failed_endpoint},
-             {"stages", stages_.size()},
-             {"events", events_forwarded_}});
-  host_.metrics_registry().add("pollenloft_chains_mended_total");
-  arm_stall_timer();
-  host_.client().send(
-      platform::encode_chain_update(params_.headers.request_id, stages_),
-      {{},
-       {},
-       [self = weak_from_this(), attempt = lifecycle_.attempt()](
-           const auto& result, auto /*body*/) {
-         if (auto request = self.lock())
-           request->handle_chain_update(attempt, result);
-       }});
-  return true;
-}
-
-auto front_request::handle_chain_update(std::size_t attempt,
-                                        const call_result& result) -> void {
-  if (attempt != lifecycle_.attempt() || !dispatch_active_) return;
-  const auto* response = std::get_if<call_completed>(&result);
-  const auto status = response == nullptr ? 0 : response->status;
-  const auto update_result = platform::decode_command_result(status);
-  if (update_result == platform::command_result::accepted ||
-      update_result == platform::command_result::already_applied)
-    return;
-  log_event(log_level::info, "chain.not_mended",
-            {{"id", params_.headers.request_id}, {"status", status}});
-  handle_stall();
-}
-
-/// A dispatch stalls when any of its stages has crashed.
-auto front_request::handle_stall() -> void {
-  host_.reach().contact_failed(stages_.front().endpoint->id);
-  attribute_crash(stages_, [this, events = events_forwarded_] {
-    if (events == events_forwarded_) abandon_stalled_dispatch();
-  });
-}
-
-auto front_request::abandon_stalled_dispatch() -> void {
-  const auto stages = stages_;
-  step(request_event::stalled);
-  // A request that may not run again stays on this dispatch.
-  if (dispatch_active_) return;
-  for (const auto& stage : stages)
-    avoided_endpoints_.insert(stage.endpoint->id);
-  host_.metrics_registry().add("pollenloft_stalls_total");
-  log_event(log_level::warning, "attempt.stalled",
-            {{"id", params_.headers.request_id},
-             {"fingerprint", fingerprint_text(params_.fingerprint)},
-             {"attempt", lifecycle_.attempt()},
-             {"endpoint", stages.front().endpoint->id},
-             {"events", events_forwarded_}});
-}
-
 // --- responses ---------------------------------------------------------------
 
 auto front_request::refuse(int status, const std::string& reason,
--- /dev/null
+++ b/src/front_response.cpp
@@ -0,0 +1,171 @@
+// Responses of endpoints to a front request.
+#include "front_request.hpp"
+#include "pollenloft/engine.hpp"
+
+namespace pollenloft {
+
+namespace {
+
+/// A stream is aborted when its caller leaves more bytes than this unread.
+constexpr std::size_t max_unread_bytes = 1024 * 1024;
+/// Refusals for want of capacity arrive sooner than this.
+constexpr auto slow_refusal_threshold = milliseconds(500);
+
+}  // namespace
+
+auto front_request::handle_headers(std::size_t attempt, int status,
+                                   const http_headers& headers) -> void {
+  if (attempt != lifecycle_.attempt() || !dispatch_active_) return;
+  response_.status = status;
+  response_.headers =
+      without_relay_headers(platform::encode_response_headers(headers));
+  response_head_ = platform::decode_response_head(status, headers);
+  if (peer_) {
+    relay_refusal_ = headers.find(relay_refused_header);
+    return;
+  }
+  if (!answers_other_request() && !response_head_.misdirected)
+    host_.notices().observe(stages_, status, response_head_.notices,
+                            dispatched_at_);
+}
+
+auto front_request::answers_other_request() const -> bool {
+  return !response_head_.request_id.empty() &&
+         response_head_.request_id != params_.headers.request_id;
+}
+
+auto front_request::handle_data(std::size_t attempt, std::string_view bytes)
+    -> void {
+  if (attempt != lifecycle_.attempt() || !dispatch_active_) return;
+  if (answers_other_request())
+    return fail_attempt({"answer.head", stages_.front().endpoint->id,
+                         "the answer is for another request"});
+  const auto searched = partial_event_.size();
+  partial_event_ += bytes;
+  if (partial_event_.size() > max_event_bytes)
+    return fail_attempt(
+        {"answer.event", stages_.front().endpoint->id, "an event is too long"});
+  forward_complete_events(searched);
+}
+
+/// Forwards complete events. An interrupted event is generated again by the
+/// endpoint that resumes the stream. The first `searched` bytes contain no end
+/// of an event.
+auto front_request::forward_complete_events(std::size_t searched) -> void {
+  std::string complete_events;
+  auto gap = false;
+  std::size_t begin = 0;
+  const auto from = searched == 0 ? 0 : searched - 1;
+  for (auto end = partial_event_.find("\n\n", from);
+       !gap && end != std::string::npos;
+       end = partial_event_.find("\n\n", begin)) {
+    const auto event =
+        std::string_view(partial_event_).substr(begin, end + 2 - begin);
+    begin = end + 2;
+    const auto id = platform::parse_event_id(event);
+    if (id && last_event_id_ && *id <= *last_event_id_) continue;
+    gap = id && last_event_id_ && *id > *last_event_id_ + 1;
+    if (gap) break;
+    if (id) last_event_id_ = id;
+    ++events_forwarded_;
+    complete_events += event;
+  }
+  partial_event_.erase(0, begin);
+  if (events_forwarded_ >= attempt_first_event_ + survival_events)
+    record_part_survival();
+  if (!complete_events.empty()) forward(complete_events);
+  if (gap && dispatch_active_)
+    fail_attempt(
+        {"answer.event", stages_.front().endpoint->id, "an event is missing"});
+}
+
+auto front_request::forward(const std::string& events) -> void {
+  if (lifecycle_.state() == "dispatched") step(request_event::began);
+  if (!exchange_->started()) {
+    host_.metrics_registry().observe("pollenloft_first_event_seconds",
+                                     boottime_clock::now() - params_.arrived);
+    auto headers = response_.headers;
+    if (host_.draining()) headers.add("Connection", "close");
+    exchange_->start(response_.status, headers);
+  }
+  arm_stall_timer();
+  if (exchange_->chunk(events) <= max_unread_bytes) return;
+  log_event(log_level::warning, "caller.too_slow",
+            {{"id", params_.headers.request_id}});
+  exchange_->abort();
+  step(request_event::caller_gone);
+}
+
+auto front_request::handle_done(std::size_t attempt, const call_result& result,
+                                std::string_view body) -> void {
+  if (attempt != lifecycle_.attempt() || !dispatch_active_) return;
+  std::visit(overloaded{[&](const call_completed&) { handle_response(body); },
+                        [this](const call_unsent& unsent) {
+                          handle_unsent(unsent.cause);
+                        },
+                        [this](const call_interrupted& interrupted) {
+                          handle_interruption(interrupted.cause);
+                        }},
+             result);
+}
+
+auto front_request::handle_response(std::string_view body) -> void {
+  if (answers_other_request())
+    return fail_attempt({"answer.head", stages_.front().endpoint->id,
+                         "the answer is for another request"});
+  if (relay_refusal_) return handle_relay_refusal(*relay_refusal_);
+  if (response_head_.not_run && !peer_) return handle_refusal();
+  response_.body = body;
+  const auto failed = response_.status >= 500;
+  if (failed && !peer_ && params_.route->may_repeat() &&
+      !exchange_->started()) {
+    failed_response_ = response_;
+    return fail_attempt({"answer.status", stages_.front().endpoint->id,
+                         std::to_string(response_.status)});
+  }
+  if (is_stream() && response_.status == 200 && !partial_event_.empty())
+    return fail_attempt({"answer.event", stages_.front().endpoint->id,
+                         "the last event is not whole"});
+  // An endpoint that answers with an error may not have run the request.
+  if (!failed && !peer_) {
+    host_.crashes().record_survival(params_.fingerprint);
+    const auto wrote = !is_stream() || events_forwarded_ > attempt_first_event_;
+    if (response_.status == 200 && wrote) record_part_survival();
+  }
+  release_slots(dispatch_result::served, "");
+  step(request_event::completed);
+}
+
+auto front_request::endpoint_by_address(const std::string& address) const
+    -> std::string {
+  for (const auto& stage : stages_)
+    if (stage.endpoint->address.text() == address) return stage.endpoint->id;
+  return stages_.front().endpoint->id;
+}
+
+/// Handles a response in which the endpoint proves that nothing ran.
+auto front_request::handle_refusal() -> void {
+  const auto failed_endpoint =
+      endpoint_by_address(response_head_.failed_address);
+  end_reason_ = "the endpoints have no place";
+  avoided_endpoints_.insert(failed_endpoint);
+  // A runner that does not hold its layer range, or whose refusal took as long
+  // as the timeout of an unreachable neighbour, counts as down. A runner
+  // without capacity is retried soon.
+  const auto slow =
+      boottime_clock::now() - dispatched_at_ > slow_refusal_threshold;
+  const auto full =
+      asks_for_pause(response_head_.notices) ||
+      ((response_.status == 503 || response_.status == 429) && !slow);
+  log_event(log_level::info, "request.refused_by_endpoint",
+            {{"id", params_.headers.request_id},
+             {"fingerprint", fingerprint_text(params_.fingerprint)},
+             {"attempt", lifecycle_.attempt()},
+             {"endpoint", failed_endpoint},
+             {"status", response_.status}});
+  release_slots(full ? dispatch_result::refused : dispatch_result::down,
+                failed_endpoint);
+  continue_after(request_event::not_run);
+}
+
+}  // namespace pollenloft
--- a/src/front_server.hpp
+++ b/src/front_server.hpp
@@ -112,7 +112,9 @@
   /// Logs why no chain was found for a request.
   auto log_shortage(const front_request& request, instant now) const -> void;
   auto refuse_overdue(instant now) -> void;
-  auto refuse_without_permit(const front_request_ptr& request) -> void;
+  /// Refuses a queued request that nothing but statements of endpoints holds up
+  /// for longer than it may wait; false if it stays.
+  auto refuse_held_up(const front_request_ptr& request, instant now) -> bool;
   auto tick() -> void;
 
   struct deferred_call {
--- a/src/layer_placer.cpp
+++ b/src/layer_placer.cpp
@@ -35,6 +35,9 @@
 constexpr auto refused_assignment_pause = milliseconds(700);
 /// An assignment without a visible effect after this time may be sent again.
 constexpr auto assignment_timeout = std::chrono::seconds(8);
+/// A runner that asks for a longer pause is probed again after this time, since
+/// nothing else tells the leader that it has crashed.
+constexpr auto max_probe_pause = std::chrono::seconds(5);
 
 }  // namespace
 
@@ -76,7 +79,8 @@
   if (status.wanted) placed.assigned = *status.wanted;
   placed.reassigning = status.wanted.has_value() ||
                        status.assignment_in_flight || status.state->busy ||
-                       boottime_clock::now() < status.next_assignment;
+                       boottime_clock::now() < std::max(status.next_assignment,
+                                                        status.paused_until);
   return placed;
 }
 
@@ -92,7 +96,8 @@
     ++known;
     probe(record, now);
     const auto& status = runners_.at(id);
-    if (!status.state && !status.unreachable) ++unprobed;
+    const auto paused = now < status.paused_until;
+    if (!status.state && !status.unreachable && !paused) ++unprobed;
     if (is_usable(record))
       placed.push_back(to_placed_runner(record, *service.engine));
   }
@@ -176,20 +181,42 @@
   if (status.probe_in_flight && suspected &&
       now - status.probe_sent > suspicion_timeout)
     mark_unreachable(record.id, false);
-  if (status.probe_in_flight || now - status.probe_sent < period) return;
+  if (status.probe_in_flight || now < status.paused_until ||
+      now - status.probe_sent < period)
+    return;
   const auto address = parse_socket_address(record.address);
   if (!address) return;
   status.probe_in_flight = true;
   status.probe_sent = now;
   client_.send(
       platform::encode_state_probe(*address),
-      {{},
+      {[this, alive = alive_, id = record.id](int code, const auto& headers) {
+         if (*alive)
+           observe_notices(id,
+                           platform::decode_endpoint_notices(code, headers));
+       },
        {},
        [this, alive = alive_, id = record.id](const auto& result, auto body) {
          if (*alive) handle_probe_response(id, result, body);
        }});
 }
 
+/// A runner that leaves may not have reported it yet, or not at all.
+auto layer_placer::observe_notices(const std::string& id,
+                                   const endpoint_notices& stated) -> void {
+  const auto found = runners_.find(id);
+  if (found == runners_.end()) return;
+  if (const auto* pause = std::get_if<pause_request>(&stated.pause))
+    found->second.paused_until =
+        boottime_clock::now() +
+        std::min<duration>(pause->length, max_probe_pause);
+  if (!stated.leaving) return;
+  if (!directory_.mark_leaving(id, found->second.incarnation)) return;
+  log_event(log_level::info, "endpoint.leaving",
+            {{"endpoint", id}, {"incarnation", found->second.incarnation}});
+  changed.emit(id);
+}
+
 auto layer_placer::handle_probe_response(const std::string& id,
                                          const call_result& result,
                                          std::string_view body) -> void {
@@ -201,6 +228,8 @@
   auto state = response != nullptr && response->status == 200
                    ? platform::decode_runner_state(body)
                    : std::nullopt;
+  // A runner that asks for a pause is alive.
+  if (!state && boottime_clock::now() < status.paused_until) return;
   if (!state) return handle_missed_probe(id, result);
   if (status.unreachable)
     log_event(log_level::info, "runner.reachable", {{"endpoint", id}});
@@ -338,7 +367,11 @@
                                           status.state->sequence};
   client_.send(
       platform::encode_layer_assignment(*address, wanted),
-      {{},
+      {[this, alive = alive_, id](int code, const auto& headers) {
+         if (*alive)
+           observe_notices(id,
+                           platform::decode_endpoint_notices(code, headers));
+       },
        {},
        [this, alive = alive_, id, range](const auto& result, auto /*body*/) {
          if (*alive) handle_assignment_result(id, range, result);
--- a/src/layer_placer.hpp
+++ b/src/layer_placer.hpp
@@ -42,7 +42,8 @@
     instant probe_sent{};
     bool probe_in_flight = false;
     bool assignment_in_flight = false;
-    int missed_probes = 0;  // consecutive
+    int missed_probes = 0;   // consecutive
+    instant paused_until{};  // no probe or assignment is sent before
     bool unreachable = false;
     instant suspected_at{};     // a neighbour last reported a stall here
     instant next_assignment{};  // no assignment is sent before
@@ -66,6 +67,9 @@
   auto probe(const wire::endpoint_record& record, instant now) -> void;
   auto handle_probe_response(const std::string& id, const call_result& result,
                              std::string_view body) -> void;
+  /// Takes what a runner states of itself in the head of a probe response.
+  auto observe_notices(const std::string& id, const endpoint_notices& stated)
+      -> void;
   auto check_assignment(const std::string& id, runner_status& status,
                         layer_range held) -> void;
   auto assign_layers(const wire::endpoint_record& record, layer_range range,
--- /dev/null
+++ b/src/notice.cpp
@@ -0,0 +1,202 @@
+#include "pollenloft/notice.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace pollenloft {
+
+namespace {
+
+/// Endpoints whose notices are kept.
+constexpr std::size_t max_entries = 10000;
+constexpr std::size_t max_quoted_bytes = 40;
+/// After this time without a response to the trial, another one may be sent.
+constexpr auto trial_timeout = std::chrono::seconds(1);
+/// In each such time, the VMs send an endpoint as many first requests as it has
+/// slots.
+constexpr auto slot_turnover = milliseconds(1250);
+/// A longer span would keep more VMs away than the endpoint can miss.
+constexpr auto max_return_span = std::chrono::seconds(5);
+
+constexpr auto min_retry_after = milliseconds(100);
+/// Callers return within this share of the wait after its end.
+constexpr double max_return_delay_share = 0.5;
+
+/// An incarnation is that of a process, or `PROCESS.SESSION`: a process starts
+/// a session each time it registers.
+auto process_part(const std::string& incarnation) -> std::string {
+  return incarnation.substr(0, incarnation.find('.'));
+}
+
+auto trimmed(std::string_view text) -> std::string_view {
+  const auto from = text.find_first_not_of(" \t");
+  if (from == std::string_view::npos) return {};
+  return text.substr(from, text.find_last_not_of(" \t") - from + 1);
+}
+
+/// Empty unless the text is a decimal number of at least 0.
+auto parse_seconds(std::string_view text) -> std::optional<milliseconds> {
+  constexpr double ms_per_second = 1000;
+  if (text.empty() || text.front() == '-') return std::nullopt;
+  double seconds = 0;
+  const auto* end = text.data() + text.size();
+  const auto [next, code] =
+      std::from_chars(text.data(), end, seconds, std::chars_format::fixed);
+  if (next != end || code == std::errc::invalid_argument) return std::nullopt;
+  const auto is_number =
+      text.find_first_not_of("0123456789.") == std::string_view::npos;
+  if (!is_number) return std::nullopt;
+  const auto max_ms = static_cast<double>(milliseconds(max_pause).count());
+  if (code == std::errc::result_out_of_range) return milliseconds(max_pause);
+  return milliseconds(static_cast<std::int64_t>(
+      std::min(max_ms, std::ceil(seconds * ms_per_second))));
+}
+
+}  // namespace
+
+auto parse_pause(const std::vector<std::string>& values) -> pause_field {
+  if (values.empty()) return no_pause{};
+  std::optional<milliseconds> longest;
+  for (const auto& value : values)
+    if (const auto length = parse_seconds(trimmed(value)))
+      longest = std::max(longest.value_or(*length), *length);
+  if (!longest)
+    return unreadable_pause{values.front().substr(0, max_quoted_bytes)};
+  if (*longest == milliseconds(0)) return no_pause{};
+  return pause_request{*longest};
+}
+
+auto notice_register::set_vm_count(std::size_t vms) -> void {
+  vms_ = std::max<std::size_t>(1, vms);
+}
+
+auto notice_register::find(const std::string& id,
+                           const std::string& incarnation) const
+    -> const entry* {
+  const auto found = entries_.find(id);
+  const auto same = found != entries_.end() &&
+                    found->second.process == process_part(incarnation);
+  return same ? &found->second : nullptr;
+}
+
+auto notice_register::find(const std::string& id,
+                           const std::string& incarnation) -> entry* {
+  const auto found = entries_.find(id);
+  const auto same = found != entries_.end() &&
+                    found->second.process == process_part(incarnation);
+  return same ? &found->second : nullptr;
+}
+
+auto notice_register::find_or_add(const endpoint_process& endpoint, instant now)
+    -> entry* {
+  const auto found = entries_.find(endpoint.id);
+  if (found == entries_.end() && entries_.size() >= max_entries) evict_oldest();
+  const auto process = process_part(endpoint.incarnation);
+  auto& known = entries_[endpoint.id];
+  if (process < known.process) return nullptr;
+  if (known.process != process)
+    known = entry{process, false, std::nullopt, now};
+  known.changed = now;
+  return &known;
+}
+
+auto notice_register::evict_oldest() -> void {
+  entries_.erase(std::min_element(entries_.begin(), entries_.end(),
+                                  [](const auto& a, const auto& b) {
+                                    return a.second.changed < b.second.changed;
+                                  }));
+}
+
+auto notice_register::return_span(std::int32_t slots) const -> duration {
+  const auto turns =
+      static_cast<double>(vms_) / static_cast<double>(std::max(1, slots));
+  return std::min<duration>(
+      max_return_span,
+      std::chrono::duration_cast<duration>(turns * duration(slot_turnover)));
+}
+
+auto notice_register::add_leaving(const endpoint_process& endpoint, instant now)
+    -> bool {
+  auto* known = find_or_add(endpoint, now);
+  if (known == nullptr || known->leaving) return false;
+  known->leaving = true;
+  return true;
+}
+
+auto notice_register::add_pause(const endpoint_process& endpoint,
+                                duration length, instant now) -> bool {
+  auto* known = find_or_add(endpoint, now);
+  if (known == nullptr) return false;
+  const auto until = now + length;
+  if (known->paused && until <= known->paused->until) return false;
+  const auto begins = !known->paused;
+  const auto spread = std::chrono::duration_cast<duration>(
+      random_.unit() * return_span(endpoint.slots));
+  known->paused = pause{until, until + spread, {}};
+  return begins;
+}
+
+/// Responses may overtake each other: one to a request that was sent before the
+/// trial tells nothing.
+auto notice_register::add_response(const std::string& id,
+                                   const std::string& incarnation,
+                                   instant asked) -> bool {
+  auto* known = find(id, incarnation);
+  if (known == nullptr || !known->paused || asked < known->paused->resume)
+    return false;
+  known->paused.reset();
+  if (!known->leaving) entries_.erase(id);
+  return true;
+}
+
+auto notice_register::take(const std::string& id,
+                           const std::string& incarnation, instant now)
+    -> void {
+  auto* known = find(id, incarnation);
+  if (known != nullptr && known->paused)
+    known->paused->trial_until = now + trial_timeout;
+}
+
+auto notice_register::replace(const std::string& id,
+                              const std::string& incarnation) -> bool {
+  const auto found = entries_.find(id);
+  if (found == entries_.end() ||
+      process_part(incarnation) <= found->second.process)
+    return false;
+  entries_.erase(found);
+  return true;
+}
+
+auto notice_register::admits(const std::string& id,
+                             const std::string& incarnation, instant now) const
+    -> bool {
+  const auto* known = find(id, incarnation);
+  if (known == nullptr) return true;
+  if (known->leaving) return false;
+  return !known->paused ||
+         now >= std::max(known->paused->resume, known->paused->trial_until);
+}
+
+auto notice_register::leaves(const std::string& id,
+                             const std::string& incarnation) const -> bool {
+  const auto* known = find(id, incarnation);
+  return known != nullptr && known->leaving;
+}
+
+auto notice_register::returns_at(const std::string& id,
+                                 const std::string& incarnation) const
+    -> std::optional<instant> {
+  const auto* known = find(id, incarnation);
+  if (known == nullptr || !known->paused) return std::nullopt;
+  return known->paused->resume;
+}
+
+auto retry_after_pause(duration wait, double fraction) -> milliseconds {
+  const auto spread = std::chrono::duration_cast<duration>(
+      fraction * (max_return_delay_share * wait));
+  return std::max(min_retry_after,
+                  std::chrono::ceil<milliseconds>(wait + spread));
+}
+
+}  // namespace pollenloft
--- a/src/operator_views.cpp
+++ b/src/operator_views.cpp
@@ -43,12 +43,21 @@
   return rows;
 }
 
-auto endpoints_view(const endpoint_directory& directory) -> json {
+auto endpoints_view(const endpoint_directory& directory,
+                    const lease_table& leases, instant now) -> json {
+  const auto pauses = leases.pauses(now);
   constexpr std::array<const char*, 3> states{"up", "leaving", "gone"};
   auto rows = json::array();
-  for (const auto& [id, record] : directory.records())
+  for (const auto& [id, record] : directory.records()) {
+    const auto pause = pauses.find(id);
+    const auto paused = pause != pauses.end();
     rows.push_back(
         {{"id", id},
+         {"paused_by_vms", paused ? pause->second.vms : 0},
+         {"paused_ms", paused ? std::chrono::duration_cast<milliseconds>(
+                                    pause->second.until - now)
+                                    .count()
+                              : 0},
          {"service", record.pipeline},
          {"kind", record.kind},
          {"zone", record.zone},
@@ -58,6 +67,7 @@
          {"unreachable", record.unreachable},
          {"request_limit", static_cast<double>(record.request_limit) / 1000},
          {"state", states.at(static_cast<std::size_t>(record.state))}});
+  }
   return rows;
 }
 
--- a/src/operator_views.hpp
+++ b/src/operator_views.hpp
@@ -21,7 +21,8 @@
 
 /// All known endpoints: id, service, kind, zone, address, layers, owner,
 /// unreachable, state.
-auto endpoints_view(const endpoint_directory& directory) -> nlohmann::json;
+auto endpoints_view(const endpoint_directory& directory,
+                    const lease_table& leases, instant now) -> nlohmann::json;
 
 /// The VMs that hold a lease, by name: version, zone, address, draining and the
 /// remaining lease in milliseconds.
--- a/support/pollenloft.thrift
+++ b/support/pollenloft.thrift
@@ -107,6 +107,10 @@
 // cost of its queued requests.
 struct account_usage { 1: string account, 2: double cost, 3: double waiting }
 
+// An endpoint that wants no requests of the reporting VM. `left_ms` is negative
+// once its pause is over and it has answered no trial yet.
+struct paused_endpoint { 1: string endpoint, 2: string incarnation, 3: i64 left_ms }
+
 // `document` is the newest one that the VM knows of. A VM with `fetches_state`
 // requests large texts in parts; to others the reply carries them whole.
 // `suspects_digest` is that of the crash records that the VM holds; it receives
@@ -117,7 +121,8 @@
   5: i64 directory_sequence, 6: list<account_usage> usage, 7: string zone,
   8: string address, 9: bool draining, 10: bool first, 11: i64 document,
   12: bool fetches_state, 13: bool tracks_suspects, 14: i64 suspects_digest,
-  15: string relay_address, 16: string relay_key, 17: bool cut_off
+  15: string relay_address, 16: string relay_key, 17: bool cut_off,
+  18: list<paused_endpoint> paused
 }
 struct renew_reply {
   1: bool granted, 2: string leader, 3: i64 lease_ms, 4: i64 term,
--- a/test/layer_placer_test.cpp
+++ b/test/layer_placer_test.cpp
@@ -39,10 +39,18 @@
   std::vector<json> assignments;
   std::vector<std::string> stalled_peers;
   bool unresponsive = false;
+  bool leaving = false;
+  std::string pause;  // asked for in each response unless it is empty
+  int calls = 0;
 
  private:
   auto serve(const exchange_ptr& call) -> void {
     if (unresponsive) return unanswered_.push_back(call);
+    ++calls;
+    http_headers headers;
+    if (leaving) headers.add("Server-Leaving", "1");
+    if (!pause.empty())
+      return call->reply(503, headers.add("Retry-After", pause), "");
     if (call->request().path == "/report") {
       json body{{"Busy", false},
                 {"Seq", sequence},
@@ -50,7 +58,7 @@
                 {"Stalled", json::array()}};
       for (const auto& address : stalled_peers)
         body["Stalled"].push_back({{"Id", "r"}, {"Address", address}});
-      return call->reply(200, {}, body.dump());
+      return call->reply(200, headers, body.dump());
     }
     const auto assignment = json::parse(call->request().body);
     assignments.push_back(assignment);
@@ -86,6 +94,9 @@
   CPPUNIT_TEST(repair_does_not_wait_for_new_runners);
   CPPUNIT_TEST(new_leader_probes_all_runners_before_a_repair);
   CPPUNIT_TEST(suspected_runner_is_unreachable_after_one_missed_probe);
+  CPPUNIT_TEST(runner_that_says_that_it_leaves_keeps_its_layers);
+  CPPUNIT_TEST(pausing_runner_is_unreachable);
+  CPPUNIT_TEST(pausing_runner_holds_up_the_placement);
   CPPUNIT_TEST(fenced_leader_stops_assigning_layers);
   CPPUNIT_TEST_SUITE_END();
 
@@ -186,6 +197,44 @@
     CPPUNIT_ASSERT(directory_.records().at("r2").unreachable);
   }
 
+  auto runner_that_says_that_it_leaves_keeps_its_layers() -> void {
+    auto& other = add({0, 2});
+    auto& leaver = add({2, 4});
+    run_ticks(milliseconds(700));
+    leaver.leaving = true;
+    run_ticks(milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(static_cast<std::int8_t>(endpoint_state::leaving),
+                         directory_.records().at("r2").state);
+    CPPUNIT_ASSERT(other.held.covers(2) && other.held.covers(3));
+    CPPUNIT_ASSERT(leaver.assignments.empty());
+  }
+
+  auto pausing_runner_is_unreachable() -> void {
+    add({0, 2});
+    auto& pausing = add({2, 4});
+    run_ticks(milliseconds(700));
+    pausing.pause = "1.5";
+    run_ticks(milliseconds(700));
+    const auto before = pausing.calls;
+    run_ticks(milliseconds(700));
+    CPPUNIT_ASSERT_EQUAL(before, pausing.calls);
+    pausing.pause = "";
+    run_ticks(milliseconds(1500));
+    CPPUNIT_ASSERT(pausing.calls > before);
+    CPPUNIT_ASSERT(!directory_.records().at("r2").unreachable);
+    CPPUNIT_ASSERT(pausing.assignments.empty());
+  }
+
+  auto pausing_runner_holds_up_the_placement() -> void {
+    add({0, 2});
+    auto& other = add();
+    auto& pausing = add();
+    pausing.pause = "5";
+    run_ticks(milliseconds(2500));
+    CPPUNIT_ASSERT(other.held.covers(2) && other.held.covers(3));
+    CPPUNIT_ASSERT(pausing.assignments.empty());
+  }
+
   auto fenced_leader_stops_assigning_layers() -> void {
     auto& runner = add();
     runner.fenced_below = 4;
--- a/test/route_test.cpp
+++ b/test/route_test.cpp
@@ -1,23 +1,9 @@
-#include "pollenloft/route.hpp"
-
 #include "property.hpp"
+#include "route_views.hpp"
 
 namespace pollenloft::test {
 namespace {
 
-auto runner(const std::string& id, std::int32_t first, std::int32_t last,
-            const std::string& zone = "z1", const std::string& kind = "k")
-    -> endpoint_view {
-  return {id, "1", {"127.0.0.1", 1}, kind, zone, "chat", first, last, 4};
-}
-
-auto full_chain_request(std::int32_t layers = 32) -> chain_request {
-  chain_request request;
-  request.pipeline = "chat";
-  request.layers = layers;
-  return request;
-}
-
 auto covers(const chain& stages, std::int32_t layers) -> bool {
   std::int32_t boundary = 0;
   for (const auto& stage : stages) {
@@ -58,12 +44,6 @@
   CPPUNIT_TEST(burst_respects_kv_capacity_before_reports_arrive);
   CPPUNIT_TEST(refusal_for_kv_capacity_keeps_the_window);
   CPPUNIT_TEST(shortage_reports_layer_and_reason);
-  CPPUNIT_TEST(limited_endpoint_is_chosen_without_a_permit);
-  CPPUNIT_TEST(one_permit_serves_two_chains);
-  CPPUNIT_TEST(repaired_chain_uses_no_permit_of_its_new_stage);
-  CPPUNIT_TEST(repaired_chain_uses_permits_of_its_kept_stages);
-  CPPUNIT_TEST(restarted_endpoint_keeps_its_limit);
-  CPPUNIT_TEST(wait_for_a_permit_is_not_known);
   CPPUNIT_TEST(fuzz_chains);
   CPPUNIT_TEST_SUITE_END();
 
@@ -94,89 +74,6 @@
     return routes;
   }
 
-  /// A limiter that knows of a limit of 1 request a second of endpoint `id` and
-  /// holds `permits` for it.
-  auto make_limiter(const std::string& id, int permits) -> request_limiter {
-    request_limiter limiter;
-    limiter.observe({id, "1", 1.0, now_, now_});
-    CPPUNIT_ASSERT(!limiter.admits(id, "1", now_));
-    const auto wants = limiter.next_wants(now_);
-    limiter.apply({{wants.front().statement, permits, milliseconds(700)}}, now_,
-                  now_);
-    return limiter;
-  }
-
-  auto limited_endpoint_is_chosen_without_a_permit() -> void {
-    router routes({}, 1);
-    auto limiter = make_limiter("a", 0);
-    routes.set_limiter(limiter);
-    routes.upsert(runner("a", 0, 32));
-    CPPUNIT_ASSERT(!routes.choose(full_chain_request(), now_));
-    CPPUNIT_ASSERT(!routes.choose_with_fallback(full_chain_request(), now_));
-    routes.upsert(runner("b", 0, 32));
-    for (int i = 0; i < 4; ++i) {
-      const auto stages = routes.choose(full_chain_request(), now_);
-      CPPUNIT_ASSERT_EQUAL(std::string("b"), stages->front().endpoint->id);
-    }
-  }
-
-  auto one_permit_serves_two_chains() -> void {
-    router routes({}, 1);
-    auto limiter = make_limiter("a", 1);
-    routes.set_limiter(limiter);
-    routes.upsert(runner("a", 0, 32));
-    CPPUNIT_ASSERT(routes.choose(full_chain_request(), now_).has_value());
-    CPPUNIT_ASSERT(!routes.choose(full_chain_request(), now_));
-  }
-
-  auto repaired_chain_uses_no_permit_of_its_new_stage() -> void {
-    router routes({}, 1);
-    auto limiter = make_limiter("c", 1);
-    routes.set_limiter(limiter);
-    routes.upsert(runner("a", 0, 16));
-    routes.upsert(runner("b", 16, 32));
-    const auto stages = *routes.choose(full_chain_request(), now_);
-    routes.upsert(runner("c", 16, 32));
-    const auto request = full_chain_request();
-    CPPUNIT_ASSERT(routes.replace_stage(stages, "b", request, now_));
-    CPPUNIT_ASSERT_EQUAL(0, limiter.permits("c"));
-    CPPUNIT_ASSERT(!routes.replace_stage(stages, "b", request, now_));
-  }
-
-  auto repaired_chain_uses_permits_of_its_kept_stages() -> void {
-    router routes({}, 1);
-    auto limiter = make_limiter("a", 2);
-    routes.set_limiter(limiter);
-    routes.upsert(runner("a", 0, 16));
-    routes.upsert(runner("b", 16, 32));
-    const auto stages = *routes.choose(full_chain_request(), now_);
-    routes.upsert(runner("c", 16, 32));
-    CPPUNIT_ASSERT(
-        routes.replace_stage(stages, "b", full_chain_request(), now_));
-    CPPUNIT_ASSERT_EQUAL(1, limiter.permits("a"));
-  }
-
-  auto restarted_endpoint_keeps_its_limit() -> void {
-    router routes({}, 1);
-    auto limiter = make_limiter("a", 0);
-    routes.set_limiter(limiter);
-    auto restarted = runner("a", 0, 32);
-    restarted.incarnation = "2";
-    routes.upsert(restarted);
-    CPPUNIT_ASSERT(routes.choose(full_chain_request(), now_).has_value());
-  }
-
-  auto wait_for_a_permit_is_not_known() -> void {
-    router routes({}, 1);
-    auto limiter = make_limiter("a", 0);
-    routes.set_limiter(limiter);
-    routes.upsert(runner("a", 0, 32));
-    const auto request = full_chain_request();
-    CPPUNIT_ASSERT(routes.permit_wait(request, now_) == milliseconds(700));
-    routes.upsert(runner("b", 0, 32));
-    CPPUNIT_ASSERT(!routes.permit_wait(request, now_));
-  }
-
   /// After a restart the callers of all VMs return together, long before the
   /// runners' reports show the load. The KV cache of one runner fits only a few
   /// of the requests.
