Bound what is kept of leaving endpoints, and look for pauses only if there are any

The leader shares only reports of endpoints that no entry VM owns, since owners report theirs to each new leader.

--- a/include/pollenloft/notice.hpp
+++ b/include/pollenloft/notice.hpp
@@ -61,6 +61,10 @@
 
   /// Records that the process leaves; false if that is known.
   auto add_leaving(const endpoint_process& endpoint, instant now) -> bool;
+  /// Whether the leader is to be told that the process leaves; then it is not
+  /// again for a while.
+  auto take_report(const std::string& id, const std::string& incarnation,
+                   instant now) -> bool;
   /// Records a pause that begins now; false if the process pauses already.
   /// Never shortens a pause.
   auto add_pause(const endpoint_process& endpoint, duration length, instant now)
@@ -96,11 +100,14 @@
     bool leaving = false;
     std::optional<pause> paused;
     instant changed{};
+    instant reported{};  ///< to the leader, that it leaves
   };
   auto entries() const -> const std::map<std::string, entry>& {
     return entries_;
   }
   auto empty() const -> bool { return entries_.empty(); }
+  /// Whether any endpoint pauses.
+  auto any_paused() const -> bool { return paused_ > 0; }
 
  private:
   auto find(const std::string& id, const std::string& incarnation) const
@@ -109,11 +116,13 @@
   /// Null if the register knows a later process of the endpoint.
   auto find_or_add(const endpoint_process& endpoint, instant now) -> entry*;
   auto evict_oldest() -> void;
+  auto erase(const std::string& id) -> void;
   /// Time over which the VMs send their first requests after a pause.
   auto return_span(std::int32_t slots) const -> duration;
 
   random_source random_;
   std::size_t vms_ = 1;
+  std::size_t paused_ = 0;                // endpoints
   std::map<std::string, entry> entries_;  // by endpoint id
 };
 
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -1070,7 +1070,9 @@
     for (const auto& record : records) {
       const auto before = directory_.sequence();
       directory_.merge({record});
-      if (directory_.sequence() != before) changed.insert(record.id);
+      // Owners report their endpoints to each new leader.
+      const auto owned = !record.owner.empty();
+      if (!owned && directory_.sequence() != before) changed.insert(record.id);
     }
     if (gateway_ && !changed.empty()) gateway_->publish(changed);
   }
--- a/src/endpoint_pool.hpp
+++ b/src/endpoint_pool.hpp
@@ -221,7 +221,7 @@
   }
 
   auto any_stated() const -> bool {
-    return (notices != nullptr && !notices->empty()) ||
+    return (notices != nullptr && notices->any_paused()) ||
            (limiter != nullptr && !limiter->limits().statements().empty());
   }
 
--- a/src/notice.cpp
+++ b/src/notice.cpp
@@ -19,6 +19,9 @@
 /// A longer span would keep more VMs away than the endpoint can miss.
 constexpr auto max_return_span = std::chrono::seconds(5);
 
+/// Least time between two reports of an endpoint that the directory lists as up
+/// although it leaves.
+constexpr auto report_interval = std::chrono::seconds(1);
 constexpr auto min_retry_after = milliseconds(100);
 /// Callers return within this share of the wait after its end.
 constexpr double max_return_delay_share = 0.5;
@@ -95,17 +98,26 @@
   const auto process = process_part(endpoint.incarnation);
   auto& known = entries_[endpoint.id];
   if (process < known.process) return nullptr;
-  if (known.process != process)
-    known = entry{process, false, std::nullopt, now};
+  if (known.process != process) {
+    if (known.paused) --paused_;
+    known = entry{process, false, std::nullopt, now, {}};
+  }
   known.changed = now;
   return &known;
 }
 
 auto notice_register::evict_oldest() -> void {
-  entries_.erase(std::min_element(entries_.begin(), entries_.end(),
-                                  [](const auto& a, const auto& b) {
-                                    return a.second.changed < b.second.changed;
-                                  }));
+  const auto oldest = std::min_element(
+      entries_.begin(), entries_.end(), [](const auto& a, const auto& b) {
+        return a.second.changed < b.second.changed;
+      });
+  erase(oldest->first);
+}
+
+auto notice_register::erase(const std::string& id) -> void {
+  const auto found = entries_.find(id);
+  if (found->second.paused) --paused_;
+  entries_.erase(found);
 }
 
 auto notice_register::return_span(std::int32_t slots) const -> duration {
@@ -124,6 +136,16 @@
   return true;
 }
 
+auto notice_register::take_report(const std::string& id,
+                                  const std::string& incarnation, instant now)
+    -> bool {
+  auto* known = find(id, incarnation);
+  if (known == nullptr || !known->leaving) return false;
+  if (now - known->reported < report_interval) return false;
+  known->reported = now;
+  return true;
+}
+
 auto notice_register::add_pause(const endpoint_process& endpoint,
                                 duration length, instant now) -> bool {
   auto* known = find_or_add(endpoint, now);
@@ -133,6 +155,7 @@
   const auto begins = !known->paused;
   const auto spread = std::chrono::duration_cast<duration>(
       random_.unit() * return_span(endpoint.slots));
+  if (begins) ++paused_;
   known->paused = pause{until, until + spread, {}};
   return begins;
 }
@@ -146,7 +169,8 @@
   if (known == nullptr || !known->paused || asked < known->paused->resume)
     return false;
   known->paused.reset();
-  if (!known->leaving) entries_.erase(id);
+  --paused_;
+  if (!known->leaving) erase(id);
   return true;
 }
 
@@ -164,7 +188,7 @@
   if (found == entries_.end() ||
       process_part(incarnation) <= found->second.process)
     return false;
-  entries_.erase(found);
+  erase(id);
   return true;
 }
 
--- a/src/notice_monitor.cpp
+++ b/src/notice_monitor.cpp
@@ -10,9 +10,6 @@
 constexpr int service_unavailable = 503;
 /// Pause of an endpoint that asks for one of unknown length.
 constexpr auto default_pause = std::chrono::seconds(1);
-/// Least time between two reports of an endpoint that the directory lists as
-/// up although it leaves.
-constexpr auto report_interval = std::chrono::seconds(1);
 constexpr std::size_t max_paused_in_renewal = 64;
 
 auto whole_ms(duration time) -> std::int64_t {
@@ -92,8 +89,8 @@
             {{"endpoint", endpoint.id},
              {"incarnation", endpoint.incarnation},
              {"status", status}});
-  reported_at_[endpoint.id] = now;
-  leaving.emit(endpoint.id);
+  if (notices_.take_report(endpoint.id, endpoint.incarnation, now))
+    leaving.emit(endpoint.id);
 }
 
 auto notice_monitor::observe_pause(const endpoint_view& endpoint, int status,
@@ -154,21 +151,15 @@
 /// A process that leaves stays in the register when the directory no longer
 /// lists it, since a new leader may list it as up.
 auto notice_monitor::apply_state(const wire::endpoint_record& record) -> void {
-  if (notices_.replace(record.id, record.incarnation)) {
-    reported_at_.erase(record.id);
+  const auto now = boottime_clock::now();
+  if (notices_.replace(record.id, record.incarnation))
     log_event(log_level::info, "endpoint.started_again",
               {{"endpoint", record.id}, {"incarnation", record.incarnation}});
-  }
   if (record.state == static_cast<std::int8_t>(endpoint_state::leaving))
-    notices_.add_leaving({record.id, record.incarnation, record.slots},
-                         boottime_clock::now());
+    notices_.add_leaving({record.id, record.incarnation, record.slots}, now);
   const auto up = record.state == static_cast<std::int8_t>(endpoint_state::up);
-  if (!up || !notices_.leaves(record.id, record.incarnation)) return;
-  const auto now = boottime_clock::now();
-  auto& reported_at = reported_at_[record.id];
-  if (now - reported_at < report_interval) return;
-  reported_at = now;
-  leaving.emit(record.id);
+  if (up && notices_.take_report(record.id, record.incarnation, now))
+    leaving.emit(record.id);
 }
 
 auto notice_monitor::paused(instant now) const
--- a/src/notice_monitor.hpp
+++ b/src/notice_monitor.hpp
@@ -5,7 +5,6 @@
 #define POLLENLOFT_NOTICE_MONITOR_HPP
 
 #include <sigc++/sigc++.h>
-#include <map>
 #include <string>
 #include <vector>
 
@@ -56,7 +55,6 @@
 
   request_limiter& limiter_;
   notice_register notices_;
-  std::map<std::string, instant> reported_at_;  // leaving, by endpoint
   std::uint64_t pauses_ = 0;
 };
 
