--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -98,6 +98,7 @@
 
 stop_all() {
   local name
+  [[ $BASHPID == $$ ]] || return 0 # a subshell that ends leaves the processes
   for name in "${!pids[@]}"; do
     kill -CONT "${pids[$name]}" 2>/dev/null
     kill -KILL "${pids[$name]}" 2>/dev/null
