Let requests that may have run wait on the own interface while endpoints pause

What callers saw: a call on the own interface whose endpoint broke off ended with 502 while all endpoints of its service paused, although it may run again once they return. The front waits for that.

Cause: refuse_held_up of the entry server lacks the condition of the front's, that no earlier attempt may have run. A refusal of such a request can't promise that it did not run, so it ends as unknown.

Evidence: front_notice_test, own_request_that_may_have_run_ends_while_all_ endpoints_pause, fails before (502 instead of 200); the same case on the front passed before. Both pass now (17 of 17). Ruled out: the chart, which is one for both, and the router, which is asked in the same way.

--- a/src/caller_request.hpp
+++ b/src/caller_request.hpp
@@ -75,6 +75,7 @@
   /// prompt; 1 for a plain request.
   auto cost() const -> double;
   auto queued() const -> bool { return lifecycle_.state() == "queued"; }
+  auto no_earlier_run() const -> bool { return lifecycle_.no_earlier_run(); }
   auto ended() const -> bool { return lifecycle_.ended(); }
 
  private:
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -393,6 +393,7 @@
 
 auto entry_server::refuse_held_up(const caller_request_ptr& request,
                                   instant now) -> bool {
+  if (!request->no_earlier_run()) return false;
   const auto wait =
       router_.wait_for_endpoints(request->make_chain_request(), now);
   if (!wait || !wait->paused || wait->time <= max_pause_wait) return false;
--- a/test/front_notice_test.cpp
+++ b/test/front_notice_test.cpp
@@ -50,6 +50,11 @@
   return record;
 }
 
+/// The same service on the own interface.
+constexpr auto own_configuration =
+    R"({"services":{"app":{"kind":"plain","idempotent":true,"endpoints":["*"],
+    "accounts":["a"]}},"accounts":{"a":{"token":"t"}}})";
+
 /// A leader that lists two endpoints as up, whatever is reported to it.
 class fake_leader {
  public:
@@ -91,6 +96,11 @@
     reply.vm_count = 1;
     reply.document = 1;
     reply.document_text = make_document();
+    reply.version = 1;
+    wire::version_record version;
+    version.version = 1;
+    version.body = own_configuration;
+    reply.patches = {version};
     reply.endpoints = std::exchange(records_, {});
     reply.directory_sequence = sequence_;
     reply_timer_ = loop_.after(milliseconds(10), [call, reply] {
@@ -131,6 +141,8 @@
   CPPUNIT_TEST(callers_wait_for_endpoints_that_all_pause);
   CPPUNIT_TEST(pause_ejects_the_endpoint);
   CPPUNIT_TEST(leader_is_not_told_who_pauses);
+  CPPUNIT_TEST(request_that_may_have_run_ends_while_all_endpoints_pause);
+  CPPUNIT_TEST(own_request_that_may_have_run_ends_while_all_endpoints_pause);
   CPPUNIT_TEST_SUITE_END();
 
   using handler = std::function<void(const exchange_ptr&)>;
@@ -199,10 +211,12 @@
   }
 
   /// Sends one request and returns the status of its answer.
-  auto send(const std::string& target = "/x/1") -> int {
+  auto send(const std::string& target = "/x/1",
+            const socket_address& server = front_address) -> int {
     http_client caller(loop_);
-    http_call call{front_address, "POST", target};
+    http_call call{server, "POST", target};
     call.headers.add("Host", "h").add("Request-Id", "q");
+    call.headers.add("Authorization", "Bearer t");
     int status = 0;
     caller.send(call, {[&](int code, const auto& headers) {
                          status = code;
@@ -412,6 +426,48 @@
     CPPUNIT_ASSERT_EQUAL(std::string("a"), leader_->paused.front().endpoint);
     CPPUNIT_ASSERT(leader_->paused.front().left_ms > 20000);
   }
+
+  /// The endpoints refuse all requests but the first one, whose connection they
+  /// close once both pause. It must run again after the pauses.
+  auto assert_runs_again_after_pauses(const std::string& target,
+                                      const socket_address& server) -> void {
+    exchange_ptr first;
+    const auto end = boottime_clock::now() + milliseconds(1000);
+    for (const std::string id : {"a", "b"})
+      handlers_[id] = [&first, end](const exchange_ptr& call) {
+        if (!first) {
+          first = call;
+          return;
+        }
+        if (boottime_clock::now() >= end)
+          return call->reply(200, answer_to(call), "done");
+        auto headers = answer_to(call);
+        headers.add("Retry-After", "0.8").add("Not-Executed", "1");
+        headers.add("Engine-Began", "no");
+        call->reply(503, headers, "{}");
+      };
+    http_client others(loop_);
+    http_call call{server, "POST", target};
+    call.headers.add("Host", "h").add("Request-Id", "r");
+    call.headers.add("Authorization", "Bearer t");
+    const auto ask = loop_.every(milliseconds(20), [&] {
+      call.body += "x";
+      if (first && entry_->control().notices().paused(instant{}).size() < 2)
+        others.send(call, {});
+    });
+    const auto close = loop_.after(milliseconds(200), [&] { first->abort(); });
+    const auto start = boottime_clock::now();
+    CPPUNIT_ASSERT_EQUAL(200, send(target, server));
+    CPPUNIT_ASSERT(boottime_clock::now() - start > milliseconds(700));
+  }
+
+  auto request_that_may_have_run_ends_while_all_endpoints_pause() -> void {
+    assert_runs_again_after_pauses("/x/1", front_address);
+  }
+
+  auto own_request_that_may_have_run_ends_while_all_endpoints_pause() -> void {
+    assert_runs_again_after_pauses("/services/app/1", entry_address);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(front_notice_test);
