Parse decimal numbers in one place; a tiny pause is no longer taken for a huge one

Cause: parse_seconds of notice took each number out of range for a large one, so "0." with 400 zeros and a digit asked for ten minutes. The project had a parser of decimals in settings, another in limit and a third one since; the trimming of header values and the conversion of a duration to seconds stood two and three times. They are parse_decimal, trimmed and seconds of core now. Exponents stay allowed in settings only. No caller saw it; found by reading.

notice_register_test, tiny_pause_is_taken_for_a_huge_one, fails before (600 s) and passes now; the tests of limits, settings, admission, routes and the platform pass unchanged.

--- a/include/pollenloft/core.hpp
+++ b/include/pollenloft/core.hpp
@@ -3,6 +3,7 @@
 #ifndef POLLENLOFT_CORE_HPP
 #define POLLENLOFT_CORE_HPP
 
+#include <charconv>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -99,6 +100,19 @@
 /// see `last_error`.
 auto parse_number(std::string_view text) -> std::optional<std::int64_t>;
 
+/// Parses a finite decimal number that takes up the complete text, in any
+/// locale; empty if it is none. `fixed` allows no exponent.
+auto parse_decimal(std::string_view text,
+                   std::chars_format format = std::chars_format::general)
+    -> std::optional<double>;
+
+/// The text without spaces and tabs at its ends.
+auto trimmed(std::string_view text) -> std::string_view;
+
+inline auto seconds(duration d) -> double {
+  return std::chrono::duration<double>(d).count();
+}
+
 /// Visitor for `std::visit`, combined from one lambda for each alternative.
 template <class... Visitors>
 struct overloaded : Visitors... {
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -18,10 +18,6 @@
 constexpr double min_rate_limit = 50;    // tokens per second
 constexpr double share_tolerance = 1.1;  // measured throughput fluctuates
 
-auto seconds(duration d) -> double {
-  return std::chrono::duration<double>(d).count();
-}
-
 /// Fair share of one unit of weight, in tokens/s.
 auto fair_share_of_unit_weight(const std::vector<account_load>& loads)
     -> double {
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace pollenloft {
 
@@ -68,6 +69,21 @@
   return value;
 }
 
+auto parse_decimal(std::string_view text, std::chars_format format)
+    -> std::optional<double> {
+  double value = 0;
+  const auto* end = text.data() + text.size();
+  const auto [next, code] = std::from_chars(text.data(), end, value, format);
+  const auto valid = code == std::errc() && next == end && std::isfinite(value);
+  return valid ? std::optional(value) : std::nullopt;
+}
+
+auto trimmed(std::string_view text) -> std::string_view {
+  const auto from = text.find_first_not_of(" \t");
+  if (from == std::string_view::npos) return {};
+  return text.substr(from, text.find_last_not_of(" \t") - from + 1);
+}
+
 auto ipv4_number(const std::string& host) -> std::uint32_t {
   in_addr parsed{};
   if (inet_pton(AF_INET, host.c_str(), &parsed) != 1) return 0;
--- a/src/endpoint_pool.hpp
+++ b/src/endpoint_pool.hpp
@@ -13,10 +13,6 @@
 
 constexpr auto default_layer_time = std::chrono::microseconds(100);
 
-inline auto seconds(duration d) -> double {
-  return std::chrono::duration<double>(d).count();
-}
-
 struct endpoint_entry {
   std::shared_ptr<const endpoint_view> view;
   double outstanding = 0;      // requests of this VM
--- a/src/limit.cpp
+++ b/src/limit.cpp
@@ -1,7 +1,6 @@
 #include "pollenloft/limit.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <utility>
 
@@ -32,29 +31,14 @@
 /// Random times keep the sum on average only.
 constexpr double leaderless_share = 0.75;
 
-auto seconds(duration d) -> double {
-  return std::chrono::duration<double>(d).count();
-}
-
 auto issue_rate(double per_second) -> double {
   return std::max(per_second, min_rate_per_second);
 }
 
 auto parse_rate(std::string_view text) -> std::optional<double> {
-  double value = 0;
-  const auto* end = text.data() + text.size();
-  const auto [next, code] =
-      std::from_chars(text.data(), end, value, std::chars_format::fixed);
-  const auto valid = code == std::errc() && next == end &&
-                     std::isfinite(value) && value >= 0 &&
-                     value <= max_limit_per_second;
-  return valid ? std::optional(value) : std::nullopt;
-}
-
-auto trimmed(std::string_view text) -> std::string_view {
-  const auto from = text.find_first_not_of(" \t");
-  if (from == std::string_view::npos) return {};
-  return text.substr(from, text.find_last_not_of(" \t") - from + 1);
+  const auto rate = parse_decimal(text, std::chars_format::fixed);
+  const auto valid = rate && *rate >= 0 && *rate <= max_limit_per_second;
+  return valid ? rate : std::nullopt;
 }
 
 }  // namespace
--- a/src/notice.cpp
+++ b/src/notice.cpp
@@ -1,7 +1,6 @@
 #include "pollenloft/notice.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 
 namespace pollenloft {
@@ -32,28 +31,20 @@
   return incarnation.substr(0, incarnation.find('.'));
 }
 
-auto trimmed(std::string_view text) -> std::string_view {
-  const auto from = text.find_first_not_of(" \t");
-  if (from == std::string_view::npos) return {};
-  return text.substr(from, text.find_last_not_of(" \t") - from + 1);
-}
-
 /// Empty unless the text is a decimal number of at least 0.
 auto parse_seconds(std::string_view text) -> std::optional<milliseconds> {
   constexpr double ms_per_second = 1000;
-  if (text.empty() || text.front() == '-') return std::nullopt;
-  double seconds = 0;
-  const auto* end = text.data() + text.size();
-  const auto [next, code] =
-      std::from_chars(text.data(), end, seconds, std::chars_format::fixed);
-  if (next != end || code == std::errc::invalid_argument) return std::nullopt;
-  const auto is_number =
-      text.find_first_not_of("0123456789.") == std::string_view::npos;
-  if (!is_number) return std::nullopt;
+  // Neither a longer fraction nor more than the largest pause makes a
+  // difference.
+  constexpr std::size_t max_digits = 32;
+  if (text.find_first_not_of("0123456789.") != std::string_view::npos)
+    return std::nullopt;
+  const auto seconds =
+      parse_decimal(text.substr(0, max_digits), std::chars_format::fixed);
+  if (!seconds) return std::nullopt;
   const auto max_ms = static_cast<double>(milliseconds(max_pause).count());
-  if (code == std::errc::result_out_of_range) return milliseconds(max_pause);
   return milliseconds(static_cast<std::int64_t>(
-      std::min(max_ms, std::ceil(seconds * ms_per_second))));
+      std::min(max_ms, std::ceil(*seconds * ms_per_second))));
 }
 
 }  // namespace
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -50,16 +50,6 @@
   return parsed;
 }
 
-/// Parses a decimal number that takes up the complete text, in any locale.
-auto parse_decimal(std::string_view text) -> std::optional<double> {
-  double value = 0;
-  const auto* end = text.data() + text.size();
-  const auto [next, code] = std::from_chars(text.data(), end, value);
-  if (code != std::errc() || next != end || !std::isfinite(value))
-    return std::nullopt;
-  return value;
-}
-
 auto format_decimal(double value) -> std::string {
   std::array<char, 64> text{};
   const auto end = std::to_chars(text.data(), text.data() + text.size(), value,
--- a/test/notice_register_test.cpp
+++ b/test/notice_register_test.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(fraction_of_a_second_is_cut_off);
   CPPUNIT_TEST(unreadable_pause_is_taken_for_a_number);
   CPPUNIT_TEST(huge_pause_has_no_bound);
+  CPPUNIT_TEST(tiny_pause_is_taken_for_a_huge_one);
   CPPUNIT_TEST(shorter_of_two_pauses_counts);
   CPPUNIT_TEST(endpoint_that_leaves_is_admitted);
   CPPUNIT_TEST(process_that_started_again_stays_excluded);
@@ -68,6 +69,11 @@
                    milliseconds(max_pause));
   }
 
+  auto tiny_pause_is_taken_for_a_huge_one() -> void {
+    CPPUNIT_ASSERT(pause_of({"0." + std::string(400, '0') + "1"}) <=
+                   milliseconds(1));
+  }
+
   auto shorter_of_two_pauses_counts() -> void {
     CPPUNIT_ASSERT(pause_of({"1", "3"}) == milliseconds(3000));
     CPPUNIT_ASSERT(pause_of({"soon", "2"}) == milliseconds(2000));
