Bound what pauses add to renewals

Each renewal named up to 64 endpoints that pause, with an incarnation that the leader never read: 2.5 KB, 2.67 times a second, for a column of the operator's list alone, where a VM may spend 2 KB a second on control. It is the id and the time left now, of 16 endpoints at most.

notice_control_test, pauses_fill_the_renewals: 500 endpoints that pause added more than the 400 bytes allowed before, and pass now.

--- a/src/notice_monitor.cpp
+++ b/src/notice_monitor.cpp
@@ -10,7 +10,7 @@
 constexpr int service_unavailable = 503;
 /// Pause of an endpoint that asks for one of unknown length.
 constexpr auto default_pause = std::chrono::seconds(1);
-constexpr std::size_t max_paused_in_renewal = 64;
+constexpr std::size_t max_paused_in_renewal = 16;
 
 auto whole_ms(duration time) -> std::int64_t {
   return std::chrono::duration_cast<milliseconds>(time).count();
@@ -169,7 +169,6 @@
     if (!entry.paused || result.size() >= max_paused_in_renewal) continue;
     wire::paused_endpoint paused;
     paused.endpoint = id;
-    paused.incarnation = entry.process;
     paused.left_ms = whole_ms(entry.paused->until - now);
     result.push_back(std::move(paused));
   }
--- a/support/pollenloft.thrift
+++ b/support/pollenloft.thrift
@@ -109,7 +109,7 @@
 
 // An endpoint that wants no requests of the reporting VM. `left_ms` is negative
 // once its pause is over and it has answered no trial yet.
-struct paused_endpoint { 1: string endpoint, 2: string incarnation, 3: i64 left_ms }
+struct paused_endpoint { 1: string endpoint, 2: i64 left_ms }
 
 // `document` is the newest one that the VM knows of. A VM with `fetches_state`
 // requests large texts in parts; to others the reply carries them whole.
--- a/test/notice_control_test.cpp
+++ b/test/notice_control_test.cpp
@@ -1,3 +1,4 @@
+#include "notice_monitor.hpp"
 #include "pollenloft/control.hpp"
 #include "pollenloft/wire.hpp"
 #include "property.hpp"
@@ -27,6 +28,7 @@
   CPPUNIT_TEST(earlier_process_marks_the_present_one);
   CPPUNIT_TEST(report_of_an_entry_vm_replaces_a_newer_one);
   CPPUNIT_TEST(pauses_of_a_lost_vm_are_listed);
+  CPPUNIT_TEST(pauses_fill_the_renewals);
   CPPUNIT_TEST_SUITE_END();
 
   endpoint_directory directory_;
@@ -97,6 +99,21 @@
                          leases.pauses(now_ + milliseconds(1200)).at("e").vms);
     CPPUNIT_ASSERT(leases.pauses(now_ + milliseconds(1600)).empty());
   }
+
+  /// A VM may spend 2 KB a second on control, in 2.67 renewals.
+  auto pauses_fill_the_renewals() -> void {
+    request_limiter limiter;
+    notice_monitor notices(limiter, 1);
+    for (int i = 0; i < 500; ++i)
+      notices.endpoints().add_pause(
+          {"i-6b404cc" + std::to_string(100 + i), "00000001768350733578", 6},
+          std::chrono::seconds(60), now_);
+    wire::renew_request request;
+    const auto before = encode_wire(request).size();
+    request.paused = notices.paused(now_);
+    CPPUNIT_ASSERT(!request.paused.empty());
+    CPPUNIT_ASSERT(encode_wire(request).size() - before <= 400);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(notice_control_test);
