Decide what holds a request up, and what a head states, in one place for both interfaces

Each codec named the status that may ask for a pause, and the monitor once more; evaluate_notices does. The register's two lookups are one, without a copy of the incarnation.

--- a/include/pollenloft/notice.hpp
+++ b/include/pollenloft/notice.hpp
@@ -41,6 +41,15 @@
   pause_field pause;
 };
 
+/// Evaluates one head: the values of the fields that name a limit or a pause,
+/// and whether it says that the endpoint leaves. Only refusals with status 503
+/// ask for a pause.
+auto evaluate_notices(int status, const std::vector<std::string>& limits,
+                      bool leaving, const std::vector<std::string>& pauses)
+    -> endpoint_notices;
+/// Whether the head asks for a pause, however long.
+auto asks_for_pause(const endpoint_notices& stated) -> bool;
+
 /// A process of an endpoint, by which notices are kept: one that starts again
 /// under its id has stated nothing yet.
 struct endpoint_process {
@@ -110,9 +119,11 @@
   auto any_paused() const -> bool { return paused_ > 0; }
 
  private:
-  auto find(const std::string& id, const std::string& incarnation) const
-      -> const entry*;
-  auto find(const std::string& id, const std::string& incarnation) -> entry*;
+  /// The entry of this process; null if there is none.
+  template <class Entries>
+  static auto find(Entries& entries, const std::string& id,
+                   const std::string& incarnation)
+      -> decltype(&entries.begin()->second);
   /// Null if the register knows a later process of the endpoint.
   auto find_or_add(const endpoint_process& endpoint, instant now) -> entry*;
   auto evict_oldest() -> void;
--- a/src/dispatch_host.hpp
+++ b/src/dispatch_host.hpp
@@ -13,6 +13,9 @@
 
 namespace pollenloft {
 
+/// Reason of a refusal while all endpoints pause.
+inline constexpr auto endpoints_pause = "the endpoints want no requests now";
+
 template <class Request>
 class dispatch_host {
  public:
@@ -38,6 +41,19 @@
   virtual auto slot_released(const request_ptr& request, double cost)
       -> void = 0;
   virtual auto request_ended(const request_ptr& request) -> void = 0;
+  /// What holds up a queued request for longer than `max_wait`, if nothing but
+  /// statements of endpoints does and a refusal can promise that it has not
+  /// run; empty if it is to wait.
+  auto find_hold_up(const Request& request, duration max_wait, instant now)
+      -> std::optional<stated_wait> {
+    if (!request.queued() || !request.no_earlier_run()) return std::nullopt;
+    const auto wait =
+        routes().wait_for_endpoints(request.make_chain_request(), now);
+    if (!wait || wait->time <= max_wait) return std::nullopt;
+    if (wait->paused)
+      metrics_registry().add("pollenloft_paused_refusals_total");
+    return wait;
+  }
   /// Counts a request to an endpoint that has named a limit.
   auto count_limited_dispatch(const endpoint_view& endpoint) -> void {
     if (control().limiter().limits().find(endpoint.id) != nullptr)
--- a/src/engine.cpp
+++ b/src/engine.cpp
@@ -119,12 +119,9 @@
 
 auto decode_engine_notices(int status, const http_headers& headers)
     -> endpoint_notices {
-  endpoint_notices notices;
-  notices.limit = parse_request_limit(headers.find_all(engine_limit_header));
-  notices.leaving = headers.find(engine_leaving_header) == "yes";
-  if (status == 503)
-    notices.pause = parse_pause(headers.find_all("Retry-After"));
-  return notices;
+  return evaluate_notices(status, headers.find_all(engine_limit_header),
+                          headers.find(engine_leaving_header) == "yes",
+                          headers.find_all("Retry-After"));
 }
 
 auto parse_refusal(std::string_view body) -> engine_refusal {
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -393,13 +393,10 @@
 
 auto entry_server::refuse_held_up(const caller_request_ptr& request,
                                   instant now) -> bool {
-  if (!request->no_earlier_run()) return false;
-  const auto wait =
-      router_.wait_for_endpoints(request->make_chain_request(), now);
-  if (!wait || !wait->paused || wait->time <= max_pause_wait) return false;
+  const auto wait = find_hold_up(*request, max_pause_wait, now);
+  if (!wait || !wait->paused) return false;
   dequeue(request);
-  metrics_.add("pollenloft_paused_refusals_total");
-  request->refuse("the endpoints want no requests now",
+  request->refuse(endpoints_pause,
                   retry_after_pause(wait->time, random_.unit()));
   return true;
 }
--- a/src/front_queue.cpp
+++ b/src/front_queue.cpp
@@ -49,22 +49,18 @@
 /// Refuses at once what would only wait until it is overdue.
 auto front_server::refuse_held_up(const front_request_ptr& request, instant now)
     -> bool {
-  if (!request->queued() || !request->no_earlier_run()) return false;
   const auto wait =
-      router_.wait_for_endpoints(request->make_chain_request(), now);
-  if (!wait || wait->time <= wait_limit(*request->parameters().route))
-    return false;
+      find_hold_up(*request, wait_limit(*request->parameters().route), now);
+  if (!wait) return false;
   dequeue(request);
   log_shortage(*request, now);
-  if (wait->paused) {
-    metrics_.add("pollenloft_paused_refusals_total");
-    request->refuse(503, "the endpoints want no requests now",
+  if (wait->paused)
+    request->refuse(503, endpoints_pause,
                     retry_after_pause(wait->time, random_.unit()));
-  } else {
+  else
     request->refuse(503, "the endpoints take no more requests now",
                     std::max(default_retry_after,
                              std::chrono::ceil<milliseconds>(wait->time)));
-  }
   return true;
 }
 
--- a/src/notice.cpp
+++ b/src/notice.cpp
@@ -27,7 +27,7 @@
 
 /// An incarnation is that of a process, or `PROCESS.SESSION`: a process starts
 /// a session each time it registers.
-auto process_part(const std::string& incarnation) -> std::string {
+auto process_part(std::string_view incarnation) -> std::string_view {
   return incarnation.substr(0, incarnation.find('.'));
 }
 
@@ -61,23 +61,28 @@
   return pause_request{*longest};
 }
 
-auto notice_register::set_vm_count(std::size_t vms) -> void {
-  vms_ = std::max<std::size_t>(1, vms);
+auto evaluate_notices(int status, const std::vector<std::string>& limits,
+                      bool leaving, const std::vector<std::string>& pauses)
+    -> endpoint_notices {
+  constexpr int service_unavailable = 503;
+  return {parse_request_limit(limits), leaving,
+          status == service_unavailable ? parse_pause(pauses) : no_pause{}};
 }
 
-auto notice_register::find(const std::string& id,
-                           const std::string& incarnation) const
-    -> const entry* {
-  const auto found = entries_.find(id);
-  const auto same = found != entries_.end() &&
-                    found->second.process == process_part(incarnation);
-  return same ? &found->second : nullptr;
+auto asks_for_pause(const endpoint_notices& stated) -> bool {
+  return !std::holds_alternative<no_pause>(stated.pause);
 }
 
-auto notice_register::find(const std::string& id,
-                           const std::string& incarnation) -> entry* {
-  const auto found = entries_.find(id);
-  const auto same = found != entries_.end() &&
+auto notice_register::set_vm_count(std::size_t vms) -> void {
+  vms_ = std::max<std::size_t>(1, vms);
+}
+
+template <class Entries>
+auto notice_register::find(Entries& entries, const std::string& id,
+                           const std::string& incarnation)
+    -> decltype(&entries.begin()->second) {
+  const auto found = entries.find(id);
+  const auto same = found != entries.end() &&
                     found->second.process == process_part(incarnation);
   return same ? &found->second : nullptr;
 }
@@ -91,7 +96,7 @@
   if (process < known.process) return nullptr;
   if (known.process != process) {
     if (known.paused) --paused_;
-    known = entry{process, false, std::nullopt, now, {}};
+    known = entry{std::string(process), false, std::nullopt, now, {}};
   }
   known.changed = now;
   return &known;
@@ -130,7 +135,7 @@
 auto notice_register::take_report(const std::string& id,
                                   const std::string& incarnation, instant now)
     -> bool {
-  auto* known = find(id, incarnation);
+  auto* known = find(entries_, id, incarnation);
   if (known == nullptr || !known->leaving) return false;
   if (now - known->reported < report_interval) return false;
   known->reported = now;
@@ -156,7 +161,7 @@
 auto notice_register::add_response(const std::string& id,
                                    const std::string& incarnation,
                                    instant asked) -> bool {
-  auto* known = find(id, incarnation);
+  auto* known = find(entries_, id, incarnation);
   if (known == nullptr || !known->paused || asked < known->paused->resume)
     return false;
   known->paused.reset();
@@ -168,7 +173,7 @@
 auto notice_register::take(const std::string& id,
                            const std::string& incarnation, instant now)
     -> void {
-  auto* known = find(id, incarnation);
+  auto* known = find(entries_, id, incarnation);
   if (known != nullptr && known->paused)
     known->paused->trial_until = now + trial_timeout;
 }
@@ -186,7 +191,7 @@
 auto notice_register::admits(const std::string& id,
                              const std::string& incarnation, instant now) const
     -> bool {
-  const auto* known = find(id, incarnation);
+  const auto* known = find(entries_, id, incarnation);
   if (known == nullptr) return true;
   if (known->leaving) return false;
   return !known->paused ||
@@ -195,14 +200,14 @@
 
 auto notice_register::leaves(const std::string& id,
                              const std::string& incarnation) const -> bool {
-  const auto* known = find(id, incarnation);
+  const auto* known = find(entries_, id, incarnation);
   return known != nullptr && known->leaving;
 }
 
 auto notice_register::returns_at(const std::string& id,
                                  const std::string& incarnation) const
     -> std::optional<instant> {
-  const auto* known = find(id, incarnation);
+  const auto* known = find(entries_, id, incarnation);
   if (known == nullptr || !known->paused) return std::nullopt;
   return known->paused->resume;
 }
--- a/src/notice_monitor.cpp
+++ b/src/notice_monitor.cpp
@@ -28,10 +28,6 @@
 
 }  // namespace
 
-auto asks_for_pause(const endpoint_notices& stated) -> bool {
-  return !std::holds_alternative<no_pause>(stated.pause);
-}
-
 auto notice_monitor::set_vm_count(std::size_t vms) -> void {
   limiter_.set_vm_count(vms);
   notices_.set_vm_count(vms);
@@ -43,7 +39,7 @@
   const auto& head = *stages.front().endpoint;
   observe_limit(head, status, stated.limit, asked);
   if (stated.leaving) observe_leaving(head, status);
-  if (observe_pause(head, status, stated.pause)) return;
+  if (observe_pause(head, stated.pause)) return;
   end_pause(head, asked);
   if (status / 100 != 2) return;
   for (std::size_t i = 1; i < stages.size(); ++i)
@@ -93,9 +89,8 @@
     leaving.emit(endpoint.id);
 }
 
-auto notice_monitor::observe_pause(const endpoint_view& endpoint, int status,
+auto notice_monitor::observe_pause(const endpoint_view& endpoint,
                                    const pause_field& field) -> bool {
-  if (status != service_unavailable) return false;
   duration length{};
   if (const auto* asked = std::get_if<pause_request>(&field)) {
     length = asked->length;
