--- a/scripts/check_notices.sh
+++ b/scripts/check_notices.sh
@@ -6,7 +6,7 @@
 # it in 4 s, from 3 s after it has named the limit, on each path.
 check_request_limit() { notice_deployment && both_paths limit_holds; }
 limit_holds() { # front|own
-  local callers=() round before arrived=() limit=5 allowed used
+  local callers round arrived=() limit=5 allowed used answers served
   allowed=$((limit * 4 * 3 / 2 + 5))
   used=$((limit * 4 * 7 / 10))
   ask_unevenly "$1" 14 &
@@ -15,15 +15,12 @@
   fault naplo-app-1 limit "$limit"
   sleep 3.5
   for round in 1 2; do
-    before=$(arrivals_at naplo-app-1)
-    sleep 4
-    arrived+=($(($(arrivals_at naplo-app-1) - before)))
+    arrived+=("$(count_arrivals naplo-app-1 4)")
   done
   fault naplo-app-1 limit -1
   wait "$callers"
   facts="$facts $1: arrived=${arrived[*]} allowed=$allowed least=$used"
-  facts="$facts answers=$(grep -c . "$work/limit-$1.codes")"
-  facts="$facts served=$(grep -c '^200' "$work/limit-$1.codes")"
+  count_answers "$1"
   for round in "${arrived[@]}"; do
     ((round <= allowed && round >= used)) || return 1
   done
@@ -71,11 +68,14 @@
   sleep "$2"
   echo $(($(arrivals_at "$1") - before))
 }
-all_served() { # front|own
-  local answers served
+count_answers() { # front|own
   answers=$(grep -c . "$work/limit-$1.codes")
   served=$(grep -c '^200' "$work/limit-$1.codes")
   facts="$facts answers=$answers served=$served"
+}
+all_served() { # front|own
+  local answers served
+  count_answers "$1"
   ((answers > 0 && served == answers))
 }
 
@@ -133,17 +133,19 @@
   url="http://$(front_address 5)/app/paused"
   [[ $1 == own ]] && url="http://$(entry_address 5)/services/naplo-app/paused"
   for i in 1 2 3 4 5 6; do
-    curl -s -m 8 -H 'Host: app.example' -H 'Authorization: Bearer token-1' \
-      -d "paused $1 $i" -D "$work/paused-$1-$i.headers" \
-      -o "$work/paused.out" -w '%{http_code} %{time_total}\n' "$url"
+    ask_paused "$1" "$i" "$url"
   done >"$work/paused-$1.codes"
   refused=$(grep -c '^503' "$work/paused-$1.codes")
   slowest=$(sort -k2 -n "$work/paused-$1.codes" | tail -1 | cut -d' ' -f2)
   retry=$(grep -i '^Retry-After' "$work/paused-$1-6.headers" | tr -dc '0-9.')
   sleep "$retry"
-  served=$(curl -s -m 8 -H 'Host: app.example' -H 'Authorization: Bearer token-1' \
-    -d "paused $1 7" -o "$work/paused.out" -w '%{http_code}' "$url")
+  served=$(ask_paused "$1" 7 "$url" | cut -d' ' -f1)
   facts="$facts $1: refused=$refused slowest_s=$slowest retry_after_s=$retry later=$served"
   ((refused == 6)) && [[ $served == 200 ]] &&
     awk -v s="$slowest" -v r="$retry" 'BEGIN { exit !(s < 0.5 && r > 1 && r < 15) }'
 }
+ask_paused() { # front|own NUMBER URL: prints the status and the time
+  curl -s -m 8 -H 'Host: app.example' -H 'Authorization: Bearer token-1' \
+    -d "paused $1 $2" -D "$work/paused-$1-$2.headers" -o "$work/paused.out" \
+    -w '%{http_code} %{time_total}\n' "$3"
+}
--- a/scripts/check_upgrade.sh
+++ b/scripts/check_upgrade.sh
@@ -34,15 +34,6 @@
 }
 limit_per_second=5
 
-release_build() { # COMMIT: prints the folder of its daemons
-  local folder=$root/build/releases/$1
-  mkdir -p "$folder/source"
-  git -C "$root" archive "$1" | tar -x -C "$folder/source" || return 1
-  cmake -S "$folder/source" -B "$folder" -G Ninja >"$folder/cmake.out" || return 1
-  ninja -C "$folder" --quiet pollenloft-entryd pollenloft-controld \
-    >"$folder/ninja.out" || return 1
-  echo "$folder"
-}
 control_names() { echo control-{1..5}; }
 entry_names() { echo entry-{1..9}; }
 mixed_names() {
@@ -104,7 +95,7 @@
 }
 
 # One change of the configuration and one of the document; both must be in force
-# on all VMs that are ready 2 s later.
+# on all VMs that are ready 0.8 s later.
 change_all() {
   local number=$((changes + 2))
   echo "{\"accounts\":{\"upgrade-$number\":{\"token\":\"upgrade-$number\"}}}" \
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -54,6 +54,17 @@
     -d "{\"endpoint\":\"$1\",\"fault\":\"$2\",\"factor\":${3:-1}}"
 }
 
+# Builds the daemons of an earlier version from the repository's history.
+release_build() { # COMMIT: prints the folder of its daemons
+  local folder=$root/build/releases/$1
+  mkdir -p "$folder/source"
+  git -C "$root" archive "$1" | tar -x -C "$folder/source" || return 1
+  cmake -S "$folder/source" -B "$folder" -G Ninja >"$folder/cmake.out" || return 1
+  ninja -C "$folder" --quiet pollenloft-entryd pollenloft-controld \
+    >"$folder/ninja.out" || return 1
+  echo "$folder"
+}
+
 wait_for() { # SECONDS COMMAND...
   local until=$((SECONDS + $1))
   shift
