Log pauses that are asked for again, and those asked of the leader

The logs could not tell a path that ignores a pause from a pause that was dropped: a pause that an endpoint asks for again had no line, nor had one that a probe or an assignment of the leader is answered with.

Change: endpoint.pause_renewed with the age of the request, runner.paused. A refusal whose request was sent in the pause now shows as a renewal with an age below the rest of the pause. No decision changes.

notice_register_test, layer_placer_test, front_pause_test, pause_return_test pass.

--- a/include/pollenloft/notice.hpp
+++ b/include/pollenloft/notice.hpp
@@ -58,6 +58,9 @@
   std::int32_t slots = 1;
 };
 
+/// What a refusal changed of the pause of its endpoint.
+enum class pause_change { none, began, renewed };
+
 /// The endpoints that leave or pause, as this VM knows them. After a pause the
 /// VM sends one request, a trial, at a random time, so that the VMs do not
 /// return all at once; other requests follow its response.
@@ -74,10 +77,9 @@
   /// again for a while.
   auto take_report(const std::string& id, const std::string& incarnation,
                    instant now) -> bool;
-  /// Records a pause that begins now; false if the process pauses already.
-  /// Never shortens a pause.
+  /// Records a pause that begins now. Never shortens a pause.
   auto add_pause(const endpoint_process& endpoint, duration length, instant now)
-      -> bool;
+      -> pause_change;
   /// Records a response without a pause to a request sent at `asked`; true if
   /// it ends a pause.
   auto add_response(const std::string& id, const std::string& incarnation,
--- a/src/layer_placer.cpp
+++ b/src/layer_placer.cpp
@@ -206,10 +206,15 @@
                                    const endpoint_notices& stated) -> void {
   const auto found = runners_.find(id);
   if (found == runners_.end()) return;
-  if (const auto* pause = std::get_if<pause_request>(&stated.pause))
+  if (const auto* pause = std::get_if<pause_request>(&stated.pause)) {
     found->second.paused_until =
         boottime_clock::now() +
         std::min<duration>(pause->length, max_probe_pause);
+    log_event(log_level::info, "runner.paused",
+              {{"endpoint", id},
+               {"incarnation", found->second.incarnation},
+               {"length_ms", pause->length.count()}});
+  }
   if (!stated.leaving) return;
   if (!directory_.mark_leaving(id, found->second.incarnation)) return;
   log_event(log_level::info, "endpoint.leaving",
--- a/src/notice.cpp
+++ b/src/notice.cpp
@@ -143,17 +143,17 @@
 }
 
 auto notice_register::add_pause(const endpoint_process& endpoint,
-                                duration length, instant now) -> bool {
+                                duration length, instant now) -> pause_change {
   auto* known = find_or_add(endpoint, now);
-  if (known == nullptr) return false;
+  if (known == nullptr) return pause_change::none;
   const auto until = now + length;
-  if (known->paused && until <= known->paused->until) return false;
+  if (known->paused && until <= known->paused->until) return pause_change::none;
   const auto begins = !known->paused;
   const auto spread = std::chrono::duration_cast<duration>(
       random_.unit() * return_span(endpoint.slots));
   if (begins) ++paused_;
   known->paused = pause{until, until + spread, {}};
-  return begins;
+  return begins ? pause_change::began : pause_change::renewed;
 }
 
 /// Responses may overtake each other: one to a request that was sent before the
--- a/src/notice_monitor.cpp
+++ b/src/notice_monitor.cpp
@@ -39,7 +39,7 @@
   const auto& head = *stages.front().endpoint;
   observe_limit(head, status, stated.limit, asked);
   if (stated.leaving) observe_leaving(head, status);
-  if (observe_pause(head, stated.pause)) return;
+  if (observe_pause(head, stated.pause, asked)) return;
   end_pause(head, asked);
   if (status / 100 != 2) return;
   for (std::size_t i = 1; i < stages.size(); ++i)
@@ -90,7 +90,8 @@
 }
 
 auto notice_monitor::observe_pause(const endpoint_view& endpoint,
-                                   const pause_field& field) -> bool {
+                                   const pause_field& field, instant asked)
+    -> bool {
   duration length{};
   if (const auto* asked = std::get_if<pause_request>(&field)) {
     length = asked->length;
@@ -102,14 +103,18 @@
     return false;
   }
   const auto now = boottime_clock::now();
-  if (!notices_.add_pause(process_of(endpoint), length, now)) return true;
-  ++pauses_;
+  const auto change = notices_.add_pause(process_of(endpoint), length, now);
+  if (change == pause_change::none) return true;
+  pauses_ += change == pause_change::began ? 1 : 0;
   const auto resume = notices_.returns_at(endpoint.id, endpoint.incarnation);
-  log_event(log_level::info, "endpoint.paused",
+  log_event(log_level::info,
+            change == pause_change::began ? "endpoint.paused"
+                                          : "endpoint.pause_renewed",
             {{"endpoint", endpoint.id},
              {"incarnation", endpoint.incarnation},
              {"length_ms", whole_ms(length)},
-             {"trial_in_ms", whole_ms(resume.value_or(now) - now)}});
+             {"trial_in_ms", whole_ms(resume.value_or(now) - now)},
+             {"asked_age_ms", whole_ms(now - asked)}});
   return true;
 }
 
--- a/src/notice_monitor.hpp
+++ b/src/notice_monitor.hpp
@@ -47,8 +47,8 @@
                      const limit_field& field, instant asked) -> void;
   auto observe_leaving(const endpoint_view& endpoint, int status) -> void;
   /// True if the response asks for a pause.
-  auto observe_pause(const endpoint_view& endpoint, const pause_field& field)
-      -> bool;
+  auto observe_pause(const endpoint_view& endpoint, const pause_field& field,
+                     instant asked) -> bool;
   auto end_pause(const endpoint_view& endpoint, instant asked) -> void;
   auto apply_limit(const wire::endpoint_record& record) -> void;
   auto apply_state(const wire::endpoint_record& record) -> void;
--- a/test/notice_register_test.cpp
+++ b/test/notice_register_test.cpp
@@ -101,7 +101,8 @@
     notice_register notices;
     notices.add_leaving(process("2"), at(0));
     CPPUNIT_ASSERT(!notices.add_leaving(process("1"), at(1)));
-    CPPUNIT_ASSERT(!notices.add_pause(process("1"), milliseconds(100), at(1)));
+    CPPUNIT_ASSERT(notices.add_pause(process("1"), milliseconds(100), at(1)) ==
+                   pause_change::none);
     CPPUNIT_ASSERT(!notices.admits("e", "2", at(2)));
     CPPUNIT_ASSERT(!notices.replace("e", "1"));
     CPPUNIT_ASSERT(notices.leaves("e", "2"));
@@ -109,7 +110,8 @@
 
   auto pausing_endpoint_gets_requests() -> void {
     notice_register notices;
-    CPPUNIT_ASSERT(notices.add_pause(process(), milliseconds(2000), at(0)));
+    CPPUNIT_ASSERT(notices.add_pause(process(), milliseconds(2000), at(0)) ==
+                   pause_change::began);
     for (int ms = 0; ms < 2000; ms += 10)
       CPPUNIT_ASSERT(!notices.admits("e", "1", at(ms)));
     const auto back = notices.returns_at("e", "1");
@@ -145,7 +147,8 @@
   auto later_refusal_shortens_the_pause() -> void {
     notice_register notices;
     notices.add_pause(process(), milliseconds(5000), at(0));
-    CPPUNIT_ASSERT(!notices.add_pause(process(), milliseconds(100), at(50)));
+    CPPUNIT_ASSERT(notices.add_pause(process(), milliseconds(100), at(50)) ==
+                   pause_change::none);
     CPPUNIT_ASSERT(!notices.admits("e", "1", at(4900)));
   }
 
@@ -154,7 +157,9 @@
     notices.add_pause(process(), milliseconds(100), at(0));
     const auto back = *notices.returns_at("e", "1");
     notices.take("e", "1", back);
-    notices.add_pause(process(), milliseconds(1000), back + milliseconds(5));
+    CPPUNIT_ASSERT(notices.add_pause(process(), milliseconds(1000),
+                                     back + milliseconds(5)) ==
+                   pause_change::renewed);
     CPPUNIT_ASSERT(!notices.admits("e", "1", back + milliseconds(1004)));
   }
 
