Send runners no probes and assignments in a pause, however long it is

Cause: the leader kept a pause for 5 s at most, forgot it in a new term, and ignored one of unknown length. The cap was there since nothing else told it of a crash in a pause.

Evidence: probe_pause_test failed before, in three of four cases (6 calls of 1 allowed in 30 s, 2 of 1 over a change of term, a crash not noticed).

Change: the leader keeps pauses in the same notice_register as entry VMs, over terms, with one trial at the end. Each 5 s it looks for the listener of a pausing runner, which takes a connection and no call; a refused connection means a crash, as for a probe that could not connect.

What the leader can't know: whether a runner paused an earlier leader. It asks once and learns it. Each control VM is a machine of its own to the runner.

The price: load and layers of a pausing runner are those of the last probe.

--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -108,7 +108,7 @@
         replica_(make_options(values), disk_.take_persisted_state(),
                  boottime_clock::now()),
         directory_store_(disk_, directory_),
-        placer_(client_, directory_, values.millis("report-period-ms")),
+        placer_(loop_, client_, directory_, values.millis("report-period-ms")),
         pacer_(loop_, bulk_bytes_per_second(values)) {
     if (!values.text("platform-listen").empty())
       gateway_ = std::make_unique<control_gateway>(
--- a/src/layer_placer.cpp
+++ b/src/layer_placer.cpp
@@ -35,9 +35,11 @@
 constexpr auto refused_assignment_pause = milliseconds(700);
 /// An assignment without a visible effect after this time may be sent again.
 constexpr auto assignment_timeout = std::chrono::seconds(8);
-/// A runner that asks for a longer pause is probed again after this time, since
-/// nothing else tells the leader that it has crashed.
-constexpr auto max_probe_pause = std::chrono::seconds(5);
+/// Nothing but its listener tells the leader that a pausing runner has crashed.
+constexpr auto listener_probe_interval = std::chrono::seconds(5);
+constexpr auto listener_timeout = milliseconds(250);
+/// Pause of a runner that asks for one of unknown length.
+constexpr auto default_pause = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -79,8 +81,8 @@
   if (status.wanted) placed.assigned = *status.wanted;
   placed.reassigning = status.wanted.has_value() ||
                        status.assignment_in_flight || status.state->busy ||
-                       boottime_clock::now() < std::max(status.next_assignment,
-                                                        status.paused_until);
+                       boottime_clock::now() < status.next_assignment ||
+                       pauses_.returns_at(record.id, record.incarnation);
   return placed;
 }
 
@@ -96,7 +98,7 @@
     ++known;
     probe(record, now);
     const auto& status = runners_.at(id);
-    const auto paused = now < status.paused_until;
+    const auto paused = pauses_.returns_at(id, record.incarnation).has_value();
     if (!status.state && !status.unreachable && !paused) ++unprobed;
     if (is_usable(record))
       placed.push_back(to_placed_runner(record, *service.engine));
@@ -172,6 +174,7 @@
     -> void {
   auto& status = runners_[record.id];
   if (status.incarnation != record.incarnation) {
+    pauses_.replace(record.id, record.incarnation, now);
     status = runner_status{};
     status.incarnation = record.incarnation;
   }
@@ -181,19 +184,21 @@
   if (status.probe_in_flight && suspected &&
       now - status.probe_sent > suspicion_timeout)
     mark_unreachable(record.id, false);
-  if (status.probe_in_flight || now < status.paused_until ||
-      now - status.probe_sent < period)
-    return;
+  if (status.probe_in_flight || now - status.probe_sent < period) return;
+  if (!pauses_.admits(record.id, record.incarnation, now))
+    return probe_listener(record, now);
   const auto address = parse_socket_address(record.address);
   if (!address) return;
   status.probe_in_flight = true;
   status.probe_sent = now;
+  pauses_.take(record.id, record.incarnation, now);
   client_.send(
       platform::encode_state_probe(*address),
-      {[this, alive = alive_, id = record.id](int code, const auto& headers) {
+      {[this, alive = alive_, id = record.id, now](int code,
+                                                   const auto& headers) {
          if (*alive)
-           observe_notices(id,
-                           platform::decode_endpoint_notices(code, headers));
+           observe_notices(id, platform::decode_endpoint_notices(code, headers),
+                           now);
        },
        {},
        [this, alive = alive_, id = record.id](const auto& result, auto body) {
@@ -201,24 +206,44 @@
        }});
 }
 
+auto layer_placer::probe_listener(const wire::endpoint_record& record,
+                                  instant now) -> void {
+  auto& status = runners_[record.id];
+  const auto address = parse_socket_address(record.address);
+  if (!address || now - status.listener_probed < listener_probe_interval)
+    return;
+  status.listener_probed = now;
+  listeners_.probe(*address, listener_timeout,
+                   [this, id = record.id](listener_state state) {
+                     if (state == listener_state::refused)
+                       mark_unreachable(id, true);
+                   });
+}
+
 /// A runner that leaves may not have reported it yet, or not at all.
 auto layer_placer::observe_notices(const std::string& id,
-                                   const endpoint_notices& stated) -> void {
+                                   const endpoint_notices& stated,
+                                   instant asked) -> void {
   const auto found = runners_.find(id);
   if (found == runners_.end()) return;
-  if (const auto* pause = std::get_if<pause_request>(&stated.pause)) {
-    found->second.paused_until =
-        boottime_clock::now() +
-        std::min<duration>(pause->length, max_probe_pause);
+  const auto& incarnation = found->second.incarnation;
+  if (asks_for_pause(stated)) {
+    const auto* named = std::get_if<pause_request>(&stated.pause);
+    const auto length =
+        named == nullptr ? duration(default_pause) : duration(named->length);
+    pauses_.add_pause({id, incarnation}, length, boottime_clock::now());
     log_event(log_level::info, "runner.paused",
               {{"endpoint", id},
-               {"incarnation", found->second.incarnation},
-               {"length_ms", pause->length.count()}});
+               {"incarnation", incarnation},
+               {"length_ms",
+                std::chrono::duration_cast<milliseconds>(length).count()}});
+  } else {
+    pauses_.add_response(id, incarnation, asked);
   }
   if (!stated.leaving) return;
-  if (!directory_.mark_leaving(id, found->second.incarnation)) return;
+  if (!directory_.mark_leaving(id, incarnation)) return;
   log_event(log_level::info, "endpoint.leaving",
-            {{"endpoint", id}, {"incarnation", found->second.incarnation}});
+            {{"endpoint", id}, {"incarnation", incarnation}});
   changed.emit(id);
 }
 
@@ -234,7 +259,7 @@
                    ? platform::decode_runner_state(body)
                    : std::nullopt;
   // A runner that asks for a pause is alive.
-  if (!state && boottime_clock::now() < status.paused_until) return;
+  if (!state && pauses_.returns_at(id, status.incarnation)) return;
   if (!state) return handle_missed_probe(id, result);
   if (status.unreachable)
     log_event(log_level::info, "runner.reachable", {{"endpoint", id}});
@@ -372,10 +397,10 @@
                                           status.state->sequence};
   client_.send(
       platform::encode_layer_assignment(*address, wanted),
-      {[this, alive = alive_, id](int code, const auto& headers) {
+      {[this, alive = alive_, id, now](int code, const auto& headers) {
          if (*alive)
-           observe_notices(id,
-                           platform::decode_endpoint_notices(code, headers));
+           observe_notices(id, platform::decode_endpoint_notices(code, headers),
+                           now);
        },
        {},
        [this, alive = alive_, id, range](const auto& result, auto /*body*/) {
--- a/src/layer_placer.hpp
+++ b/src/layer_placer.hpp
@@ -19,9 +19,10 @@
 ///     placer.tick(config, now);  // often, while leading
 class layer_placer {
  public:
-  layer_placer(http_client& client, endpoint_directory& directory,
-               duration report_period)
+  layer_placer(event_loop& loop, http_client& client,
+               endpoint_directory& directory, duration report_period)
       : client_(client),
+        listeners_(loop),
         directory_(directory),
         report_period_(report_period),
         started_(boottime_clock::now()) {}
@@ -42,8 +43,8 @@
     instant probe_sent{};
     bool probe_in_flight = false;
     bool assignment_in_flight = false;
-    int missed_probes = 0;   // consecutive
-    instant paused_until{};  // no probe or assignment is sent before
+    int missed_probes = 0;      // consecutive
+    instant listener_probed{};  // in a pause
     bool unreachable = false;
     instant suspected_at{};     // a neighbour last reported a stall here
     instant next_assignment{};  // no assignment is sent before
@@ -65,11 +66,13 @@
   auto log_summary(const engine_profile& engine,
                    const std::vector<placed_runner>& placed) const -> void;
   auto probe(const wire::endpoint_record& record, instant now) -> void;
+  /// Looks for a listener of a runner that pauses, without a call.
+  auto probe_listener(const wire::endpoint_record& record, instant now) -> void;
   auto handle_probe_response(const std::string& id, const call_result& result,
                              std::string_view body) -> void;
   /// Takes what a runner states of itself in the head of a probe response.
-  auto observe_notices(const std::string& id, const endpoint_notices& stated)
-      -> void;
+  auto observe_notices(const std::string& id, const endpoint_notices& stated,
+                       instant asked) -> void;
   auto check_assignment(const std::string& id, runner_status& status,
                         layer_range held) -> void;
   auto assign_layers(const wire::endpoint_record& record, layer_range range,
@@ -88,6 +91,8 @@
                         const engine_profile& engine) const -> placed_runner;
 
   http_client& client_;
+  listener_prober listeners_;
+  notice_register pauses_;  // of runners that want no calls of this VM
   endpoint_directory& directory_;
   duration report_period_;
   instant started_;  // of this process, which began with an empty directory
--- a/test/layer_placer_test.cpp
+++ b/test/layer_placer_test.cpp
@@ -110,8 +110,8 @@
  public:
   auto setUp() -> void override {
     client_ = std::make_unique<http_client>(loop_);
-    placer_ =
-        std::make_unique<layer_placer>(*client_, directory_, report_period);
+    placer_ = std::make_unique<layer_placer>(loop_, *client_, directory_,
+                                             report_period);
     placer_->start_term(3);
   }
   auto tearDown() -> void override {
--- a/test/probe_pause_test.cpp
+++ b/test/probe_pause_test.cpp
@@ -32,8 +32,8 @@
  public:
   auto setUp() -> void override {
     client_ = std::make_unique<http_client>(loop_);
-    placer_ =
-        std::make_unique<layer_placer>(*client_, directory_, milliseconds(20));
+    placer_ = std::make_unique<layer_placer>(loop_, *client_, directory_,
+                                             milliseconds(20));
     placer_->start_term(3);
     runner_ = std::make_unique<http_server>(
         loop_, http_limits{}, [this](const exchange_ptr& call) {
