Give up connections of the own interface to endpoints after 400 ms

Cause: the front gives a connection up that is not established after 400 ms, the own interface waited 10 s. A request whose first packet is lost arrives seconds after its endpoint was chosen: in a pause, or after it has left.

Change: one limit for both, beside what both must have.

--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -204,6 +204,7 @@
   auto request = make_generate_call(call);
   request.timeout = params_.deadline - boottime_clock::now() +
                     std::chrono::seconds(1);  // the deadline timer fires first
+  request.connect_timeout = endpoint_connect_timeout;
   const auto attempt = lifecycle_.attempt();
   auto weak_self = weak_from_this();
   pending_call_ = host_.client().send(
@@ -242,6 +243,7 @@
   outgoing.limits = plain_response_limits;
   outgoing.timeout =
       params_.deadline - boottime_clock::now() + std::chrono::seconds(1);
+  outgoing.connect_timeout = endpoint_connect_timeout;
   const auto attempt = lifecycle_.attempt();
   auto weak_self = weak_from_this();
   pending_call_ = host_.client().send(
--- a/src/dispatch_host.hpp
+++ b/src/dispatch_host.hpp
@@ -15,6 +15,10 @@
 
 /// Reason of a refusal while all endpoints pause.
 inline constexpr auto endpoints_pause = "the endpoints want no requests now";
+/// Endpoints are a fraction of a millisecond away, so a connection that takes
+/// this long will not be established, or when the endpoint may no longer take
+/// requests.
+inline constexpr auto endpoint_connect_timeout = milliseconds(400);
 
 template <class Request>
 class dispatch_host {
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-/// Endpoints are a fraction of a millisecond away, so a connection that takes
-/// this long will not be established.
-constexpr auto connect_timeout = milliseconds(400);
 /// On a VM in use, other requests deposit retries many times a second.
 constexpr auto budget_poll_interval = milliseconds(50);
 constexpr double bytes_per_mb = 1e6;
@@ -116,7 +113,7 @@
   call.target = request.target;
   call.body = request.body;
   call.timeout = time_left() + std::chrono::seconds(1);
-  call.connect_timeout = connect_timeout;
+  call.connect_timeout = endpoint_connect_timeout;
   call.limits = is_stream() ? stream_limits : plain_response_limits;
   return call;
 }
