Count missed probes of a runner after its pause, and in it those of its listener

What callers would have seen: a runner that falls silent after a pause is never found unreachable, so its layers are not placed elsewhere.

Cause: since a pause lasts until its trial is answered, and every missed probe until then was excused. In a long pause a silent runner was not noticed either, only one that refuses connections.

Change: only a probe that was sent in the pause is excused.

probe_pause_test's case runner_without_answers_after_its_pause_counts_as_pausing fails without the change (with the excuse by the time of the response).

--- a/src/layer_placer.cpp
+++ b/src/layer_placer.cpp
@@ -82,7 +82,7 @@
   placed.reassigning = status.wanted.has_value() ||
                        status.assignment_in_flight || status.state->busy ||
                        boottime_clock::now() < status.next_assignment ||
-                       pauses_.returns_at(record.id, record.incarnation);
+                       pauses(record.id, boottime_clock::now());
   return placed;
 }
 
@@ -98,8 +98,7 @@
     ++known;
     probe(record, now);
     const auto& status = runners_.at(id);
-    const auto paused = pauses_.returns_at(id, record.incarnation).has_value();
-    if (!status.state && !status.unreachable && !paused) ++unprobed;
+    if (!status.state && !status.unreachable && !pauses(id, now)) ++unprobed;
     if (is_usable(record))
       placed.push_back(to_placed_runner(record, *service.engine));
   }
@@ -192,18 +191,19 @@
   status.probe_in_flight = true;
   status.probe_sent = now;
   pauses_.take(record.id, record.incarnation, now);
-  client_.send(
-      platform::encode_state_probe(*address),
-      {[this, alive = alive_, id = record.id, now](int code,
-                                                   const auto& headers) {
-         if (*alive)
-           observe_notices(id, platform::decode_endpoint_notices(code, headers),
-                           now);
-       },
-       {},
-       [this, alive = alive_, id = record.id](const auto& result, auto body) {
-         if (*alive) handle_probe_response(id, result, body);
-       }});
+  client_.send(platform::encode_state_probe(*address),
+               {[this, alive = alive_, id = record.id, now](
+                    int code, const auto& headers) {
+                  if (*alive)
+                    observe_notices(
+                        id, platform::decode_endpoint_notices(code, headers),
+                        now);
+                },
+                {},
+                [this, alive = alive_, id = record.id, now](const auto& result,
+                                                            auto body) {
+                  if (*alive) handle_probe_response(id, now, result, body);
+                }});
 }
 
 auto layer_placer::probe_listener(const wire::endpoint_record& record,
@@ -213,11 +213,17 @@
   if (!address || now - status.listener_probed < listener_probe_interval)
     return;
   status.listener_probed = now;
-  listeners_.probe(*address, listener_timeout,
-                   [this, id = record.id](listener_state state) {
-                     if (state == listener_state::refused)
-                       mark_unreachable(id, true);
-                   });
+  listeners_.probe(
+      *address, listener_timeout, [this, id = record.id](listener_state state) {
+        if (state != listener_state::listening)
+          return handle_missed_probe(id, state == listener_state::refused);
+        runners_[id].missed_probes = 0;
+      });
+}
+
+auto layer_placer::pauses(const std::string& id, instant now) const -> bool {
+  const auto end = pauses_.returns_at(id, runners_.at(id).incarnation);
+  return end && now < *end;
 }
 
 /// A runner that leaves may not have reported it yet, or not at all.
@@ -247,7 +253,7 @@
   changed.emit(id);
 }
 
-auto layer_placer::handle_probe_response(const std::string& id,
+auto layer_placer::handle_probe_response(const std::string& id, instant asked,
                                          const call_result& result,
                                          std::string_view body) -> void {
   const auto found = runners_.find(id);
@@ -259,8 +265,9 @@
                    ? platform::decode_runner_state(body)
                    : std::nullopt;
   // A runner that asks for a pause is alive.
-  if (!state && pauses_.returns_at(id, status.incarnation)) return;
-  if (!state) return handle_missed_probe(id, result);
+  if (!state && pauses(id, asked)) return;
+  if (!state)
+    return handle_missed_probe(id, std::holds_alternative<call_unsent>(result));
   if (status.unreachable)
     log_event(log_level::info, "runner.reachable", {{"endpoint", id}});
   // An earlier leader may have marked the runner unreachable.
@@ -314,12 +321,11 @@
 /// A refused connection means that the process is down; a missing response may
 /// be packet loss. Entry VMs learn of an unreachable runner at once and stop
 /// sending requests to it.
-auto layer_placer::handle_missed_probe(const std::string& id,
-                                       const call_result& result) -> void {
+auto layer_placer::handle_missed_probe(const std::string& id, bool refused)
+    -> void {
   auto& status = runners_[id];
   ++status.missed_probes;
   status.probe_sent = {};
-  const auto refused = std::holds_alternative<call_unsent>(result);
   const auto suspected =
       boottime_clock::now() - status.suspected_at < suspicion_lifetime;
   const auto limit =
--- a/src/layer_placer.hpp
+++ b/src/layer_placer.hpp
@@ -68,8 +68,10 @@
   auto probe(const wire::endpoint_record& record, instant now) -> void;
   /// Looks for a listener of a runner that pauses, without a call.
   auto probe_listener(const wire::endpoint_record& record, instant now) -> void;
-  auto handle_probe_response(const std::string& id, const call_result& result,
-                             std::string_view body) -> void;
+  /// Takes the response to a probe that was sent at `asked`.
+  auto handle_probe_response(const std::string& id, instant asked,
+                             const call_result& result, std::string_view body)
+      -> void;
   /// Takes what a runner states of itself in the head of a probe response.
   auto observe_notices(const std::string& id, const endpoint_notices& stated,
                        instant asked) -> void;
@@ -84,8 +86,10 @@
       -> void;
   auto suspect_address(const std::string& address) -> void;
   auto mark_unreachable(const std::string& id, bool refused) -> void;
-  auto handle_missed_probe(const std::string& id, const call_result& result)
-      -> void;
+  /// `refused` if the runner accepted no connection.
+  auto handle_missed_probe(const std::string& id, bool refused) -> void;
+  /// Whether the runner, which has been probed, wants no calls now.
+  auto pauses(const std::string& id, instant now) const -> bool;
   auto is_usable(const wire::endpoint_record& record) const -> bool;
   auto to_placed_runner(const wire::endpoint_record& record,
                         const engine_profile& engine) const -> placed_runner;
--- a/test/probe_pause_test.cpp
+++ b/test/probe_pause_test.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(new_term_forgets_the_pause);
   CPPUNIT_TEST(runner_is_never_probed_again_after_the_pause);
   CPPUNIT_TEST(crash_in_a_long_pause_goes_unnoticed);
+  CPPUNIT_TEST(runner_without_answers_after_its_pause_counts_as_pausing);
   CPPUNIT_TEST_SUITE_END();
 
   event_loop loop_;
@@ -28,6 +29,7 @@
   std::unique_ptr<http_server> runner_;
   std::string pause_;
   int calls_ = 0;
+  bool silent_ = false;
 
  public:
   auto setUp() -> void override {
@@ -38,6 +40,7 @@
     runner_ = std::make_unique<http_server>(
         loop_, http_limits{}, [this](const exchange_ptr& call) {
           ++calls_;
+          if (silent_) return call->abort();
           http_headers headers;
           if (!pause_.empty())
             return call->reply(503, headers.add("Retry-After", pause_), "");
@@ -58,6 +61,7 @@
     record.slots = 8;
     directory_.merge({record});
     calls_ = 0;
+    silent_ = false;
     pause_ = "30";
     tick_at({});
   }
@@ -104,6 +108,13 @@
     tick_at(std::chrono::seconds(12));
     CPPUNIT_ASSERT(directory_.records().at("r").unreachable);
   }
+
+  auto runner_without_answers_after_its_pause_counts_as_pausing() -> void {
+    silent_ = true;
+    for (const int second : {32, 34, 36, 38, 40})
+      tick_at(std::chrono::seconds(second));
+    CPPUNIT_ASSERT(directory_.records().at("r").unreachable);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(probe_pause_test);
