--- a/test/front_notices.hpp
+++ b/test/front_notices.hpp
@@ -15,7 +15,6 @@
 using json = nlohmann::json;
 
 inline const socket_address front_address{"127.0.9.40", 18191};
-inline const socket_address readiness_address{"127.0.9.40", 18192};
 inline const socket_address entry_address{"127.0.9.40", 18190};
 inline const socket_address relay_address{"127.0.9.40", 18196};
 inline const socket_address control_address{"127.0.9.41", 18193};
@@ -65,11 +64,12 @@
 /// A leader that lists two endpoints as up, whatever is reported to it.
 class fake_leader {
  public:
-  explicit fake_leader(event_loop& loop)
+  explicit fake_leader(event_loop& loop,
+                       const socket_address& address = control_address)
       : loop_(loop), server_(loop, http_limits{}, [this](const auto& call) {
           handle(call);
         }) {
-    CPPUNIT_ASSERT(server_.listen(control_address));
+    CPPUNIT_ASSERT(server_.listen(address));
   }
 
   auto list(const wire::endpoint_record& record) -> void {
@@ -80,6 +80,7 @@
   bool answers = true;
   std::vector<wire::endpoint_record> reports{};
   std::vector<wire::paused_endpoint> paused{};
+  std::vector<wire::peer_record> peers{};
 
  private:
   auto handle(const exchange_ptr& call) -> void {
@@ -93,6 +94,12 @@
       reply.accepted = true;
       return call->reply(200, {}, encode_wire(reply));
     }
+    if (call->request().path == "/control/peers") {
+      wire::peers_reply reply;
+      reply.accepted = true;
+      reply.peers = peers;
+      return call->reply(200, {}, encode_wire(reply));
+    }
     const auto request = decode_wire<wire::renew_request>(call->request().body);
     paused = request->paused;
     wire::renew_reply reply;
@@ -148,25 +155,8 @@
     arrivals_.clear();
     handlers_.clear();
     leader_ = std::make_unique<fake_leader>(loop_);
-    entry_options options;
-    options.vm = "vm";
-    options.zone = "z";
-    options.listen = entry_address;
-    options.control = {control_address};
-    auto request_chart =
-        chart::load(std::string(POLLENLOFT_ROOT) + "/charts/request.json",
-                    request_chart_names());
-    entry_ = std::make_unique<entry_server>(loop_, options,
-                                            std::move(*request_chart));
-    front_options front;
-    front.listen = front_address;
-    front.readiness = readiness_address;
-    front.retry_slack = 1000;
-    front.relay_listen = relay_address;
-    front.relay_key = "secret";
-    front_ = std::make_unique<front_server>(
-        loop_, front, entry_->client(), entry_->control(), entry_->crashes(),
-        entry_->request_chart(), entry_->metrics_registry());
+    entry_ = make_entry("vm", entry_address, control_address);
+    front_ = make_front(*entry_, front_address, relay_address);
     for (const std::string id : {"a", "b"}) {
       start_endpoint(id);
       leader_->list(make_record(id, "1"));
@@ -182,15 +172,52 @@
     leader_.reset();
   }
 
+  auto make_entry(const std::string& vm, const socket_address& address,
+                  const socket_address& leader)
+      -> std::unique_ptr<entry_server> {
+    entry_options options;
+    options.vm = vm;
+    options.zone = "z";
+    options.listen = address;
+    options.control = {leader};
+    auto request_chart =
+        chart::load(std::string(POLLENLOFT_ROOT) + "/charts/request.json",
+                    request_chart_names());
+    return std::make_unique<entry_server>(loop_, options,
+                                          std::move(*request_chart));
+  }
+
+  /// Its readiness probe has the port after that of `address`.
+  auto make_front(entry_server& entry, const socket_address& address,
+                  const socket_address& relay)
+      -> std::unique_ptr<front_server> {
+    front_options options;
+    options.listen = address;
+    options.readiness = address;
+    ++options.readiness.port;
+    options.retry_slack = 1000;
+    options.relay_listen = relay;
+    options.relay_key = "secret";
+    return std::make_unique<front_server>(
+        loop_, options, entry.client(), entry.control(), entry.crashes(),
+        entry.request_chart(), entry.metrics_registry());
+  }
+
   auto start_endpoint(const std::string& id) -> void {
-    endpoints_[id] = std::make_unique<http_server>(
+    endpoints_[id] = make_endpoint(id, address_of(id));
+  }
+
+  auto make_endpoint(const std::string& id, const socket_address& address)
+      -> std::unique_ptr<http_server> {
+    auto server = std::make_unique<http_server>(
         loop_, http_limits{}, [this, id](const exchange_ptr& call) {
           ++arrivals_[id];
           const auto found = handlers_.find(id);
           if (found != handlers_.end()) return found->second(call);
           call->reply(200, answer_to(call), "done");
         });
-    CPPUNIT_ASSERT(endpoints_.at(id)->listen(address_of(id)));
+    CPPUNIT_ASSERT(server->listen(address));
+    return server;
   }
 
   auto wait(duration time) -> void {
