Send no chain updates to a first stage that pauses, and evaluate their answers

Cause: the update of a chain that has lost a stage goes to its first stage beside the router, which alone knew of pauses, and the head of its answer was thrown away.

Change: a chain whose head pauses is not updated. The answer to an update tells of pauses and of leaving, as any other; it says nothing of limits. A stream under way at an endpoint that leaves is still updated, since it ends there.

The choice of a pause's length, which the leader and the VMs each had, is one function beside parse_pause.

What a VM can't know: whether the endpoint takes an update in its pause.

The price: such a stream reads its prompt again elsewhere.

--- a/include/pollenloft/notice.hpp
+++ b/include/pollenloft/notice.hpp
@@ -6,6 +6,7 @@
 #define POLLENLOFT_NOTICE_HPP
 
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -49,6 +50,9 @@
     -> endpoint_notices;
 /// Whether the head asks for a pause, however long.
 auto asks_for_pause(const endpoint_notices& stated) -> bool;
+/// The length of the pause that the head asks for; one of unknown length is
+/// taken for a second. Empty if it asks for none.
+auto pause_length(const endpoint_notices& stated) -> std::optional<duration>;
 
 /// A process of an endpoint, by which notices are kept: one that starts again
 /// under its id has stated nothing yet.
@@ -98,6 +102,9 @@
               instant now) const -> bool;
   auto leaves(const std::string& id, const std::string& incarnation) const
       -> bool;
+  /// Whether the endpoint wants no calls now, except that it may leave.
+  auto pauses(const std::string& id, const std::string& incarnation,
+              instant now) const -> bool;
   /// When the trial may be sent; empty if the endpoint does not pause.
   auto returns_at(const std::string& id, const std::string& incarnation) const
       -> std::optional<instant>;
--- a/src/front_repair.cpp
+++ b/src/front_repair.cpp
@@ -54,7 +54,17 @@
 
 /// The layers of the failed endpoint are being loaded elsewhere in the zone.
 /// Waiting for them costs less than prefilling prompt and output on another
-/// chain.
+/// chain, unless the head pauses for longer.
+auto front_request::may_repair_by(const std::string& failed_endpoint,
+                                  instant until) const -> bool {
+  const auto& head = *stages_.front().endpoint;
+  const auto returns =
+      host_.notices().endpoints().returns_at(head.id, head.incarnation);
+  return params_.engine != nullptr && events_forwarded_ > 0 &&
+         head.id != failed_endpoint && (!returns || *returns < until) &&
+         boottime_clock::now() < until;
+}
+
 auto front_request::repair_or_abandon(const std::string& failed_endpoint,
                                       instant until) -> void {
   if (!dispatch_active_) return;
@@ -62,10 +72,7 @@
     return fail_attempt(
         {"chain.repair", failed_endpoint, "the request crashed endpoints"});
   if (repair_chain(failed_endpoint)) return;
-  const auto can_wait = params_.engine != nullptr && events_forwarded_ > 0 &&
-                        stages_.front().endpoint->id != failed_endpoint &&
-                        boottime_clock::now() < until;
-  if (!can_wait) return handle_stall();
+  if (!may_repair_by(failed_endpoint, until)) return handle_stall();
   const auto attempt = lifecycle_.attempt();
   repair_timer_ = host_.loop().after(
       repair_retry_interval,
@@ -79,19 +86,19 @@
 /// The runner at the head keeps the request. The new stages prefill the tokens
 /// so far, and the other stages keep their KV cache.
 auto front_request::repair_chain(const std::string& failed_endpoint) -> bool {
-  if (params_.engine == nullptr ||
-      stages_.front().endpoint->id == failed_endpoint)
+  const auto now = boottime_clock::now();
+  const auto& head = *stages_.front().endpoint;
+  if (params_.engine == nullptr || head.id == failed_endpoint ||
+      host_.notices().endpoints().pauses(head.id, head.incarnation, now))
     return false;
-  auto repaired = host_.routes().replace_stage(
-      stages_, failed_endpoint, make_chain_request(), boottime_clock::now());
+  auto repaired = host_.routes().replace_stage(stages_, failed_endpoint,
+                                               make_chain_request(), now);
   if (!repaired) return false;
   host_.routes().dispatch_ended(stages_, poison_suspect_,
-                                dispatch_result::abandoned, "",
-                                boottime_clock::now());
+                                dispatch_result::abandoned, "", now);
   stages_ = std::move(*repaired);
-  exposure_ = {boottime_clock::now()};
-  host_.routes().dispatch_started(stages_, poison_suspect_, tokens(),
-                                  boottime_clock::now());
+  exposure_ = {now};
+  host_.routes().dispatch_started(stages_, poison_suspect_, tokens(), now);
   log_event(log_level::info, "chain.mended",
             {{"id", params_.headers.request_id},
              {"lost", failed_endpoint},
@@ -99,16 +106,26 @@
              {"events", events_forwarded_}});
   host_.metrics_registry().add("pollenloft_chains_mended_total");
   arm_stall_timer();
+  send_chain_update(now);
+  return true;
+}
+
+auto front_request::send_chain_update(instant now) -> void {
   host_.client().send(
       platform::encode_chain_update(params_.headers.request_id, stages_),
-      {{},
+      {[self = weak_from_this(), head = stages_.front().endpoint, now](
+           int status, const auto& headers) {
+         if (auto request = self.lock())
+           request->host_.notices().observe_command(
+               *head, status,
+               platform::decode_endpoint_notices(status, headers), now);
+       },
        {},
        [self = weak_from_this(), attempt = lifecycle_.attempt()](
            const auto& result, auto /*body*/) {
          if (auto request = self.lock())
            request->handle_chain_update(attempt, result);
        }});
-  return true;
 }
 
 auto front_request::handle_chain_update(std::size_t attempt,
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -147,10 +147,14 @@
   /// Replaces one stage of a stream in flight; false if no endpoint can take
   /// over the stage.
   auto repair_chain(const std::string& failed_endpoint) -> bool;
+  /// Whether a chain that can't be repaired now may be by `until`.
+  auto may_repair_by(const std::string& failed_endpoint, instant until) const
+      -> bool;
   /// Repairs the chain now or by `until`; otherwise treats the dispatch as
   /// stalled.
   auto repair_or_abandon(const std::string& failed_endpoint, instant until)
       -> void;
+  auto send_chain_update(instant now) -> void;
   auto handle_chain_update(std::size_t attempt, const call_result& result)
       -> void;
   auto reply_buffered(const buffered_response& response) -> void;
--- a/src/layer_placer.cpp
+++ b/src/layer_placer.cpp
@@ -38,8 +38,6 @@
 /// Nothing but its listener tells the leader that a pausing runner has crashed.
 constexpr auto listener_probe_interval = std::chrono::seconds(5);
 constexpr auto listener_timeout = milliseconds(250);
-/// Pause of a runner that asks for one of unknown length.
-constexpr auto default_pause = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -222,8 +220,7 @@
 }
 
 auto layer_placer::pauses(const std::string& id, instant now) const -> bool {
-  const auto end = pauses_.returns_at(id, runners_.at(id).incarnation);
-  return end && now < *end;
+  return pauses_.pauses(id, runners_.at(id).incarnation, now);
 }
 
 /// A runner that leaves may not have reported it yet, or not at all.
@@ -233,16 +230,13 @@
   const auto found = runners_.find(id);
   if (found == runners_.end()) return;
   const auto& incarnation = found->second.incarnation;
-  if (asks_for_pause(stated)) {
-    const auto* named = std::get_if<pause_request>(&stated.pause);
-    const auto length =
-        named == nullptr ? duration(default_pause) : duration(named->length);
-    pauses_.add_pause({id, incarnation}, length, boottime_clock::now());
+  if (const auto length = pause_length(stated)) {
+    pauses_.add_pause({id, incarnation}, *length, boottime_clock::now());
     log_event(log_level::info, "runner.paused",
               {{"endpoint", id},
                {"incarnation", incarnation},
                {"length_ms",
-                std::chrono::duration_cast<milliseconds>(length).count()}});
+                std::chrono::duration_cast<milliseconds>(*length).count()}});
   } else {
     pauses_.add_response(id, incarnation, asked);
   }
--- a/src/notice.cpp
+++ b/src/notice.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t max_quoted_bytes = 40;
 /// After this time without a response to the trial, another one may be sent.
 constexpr auto trial_timeout = std::chrono::seconds(1);
+/// Pause of an endpoint that asks for one of unknown length.
+constexpr auto default_pause = std::chrono::seconds(1);
 /// In each such time, the VMs send an endpoint as many first requests as it has
 /// slots.
 constexpr auto slot_turnover = milliseconds(1250);
@@ -73,6 +75,16 @@
   return !std::holds_alternative<no_pause>(stated.pause);
 }
 
+auto pause_length(const endpoint_notices& stated) -> std::optional<duration> {
+  using result = std::optional<duration>;
+  return std::visit(
+      overloaded{
+          [](const no_pause&) { return result(); },
+          [](const pause_request& asked) { return result(asked.length); },
+          [](const unreadable_pause&) { return result(default_pause); }},
+      stated.pause);
+}
+
 auto notice_register::set_vm_count(std::size_t vms) -> void {
   vms_ = std::max<std::size_t>(1, vms);
 }
@@ -209,6 +221,13 @@
   return known != nullptr && known->leaving;
 }
 
+auto notice_register::pauses(const std::string& id,
+                             const std::string& incarnation, instant now) const
+    -> bool {
+  const auto end = returns_at(id, incarnation);
+  return end && now < *end;
+}
+
 auto notice_register::returns_at(const std::string& id,
                                  const std::string& incarnation) const
     -> std::optional<instant> {
--- a/src/notice_monitor.cpp
+++ b/src/notice_monitor.cpp
@@ -8,8 +8,6 @@
 namespace {
 
 constexpr int service_unavailable = 503;
-/// Pause of an endpoint that asks for one of unknown length.
-constexpr auto default_pause = std::chrono::seconds(1);
 constexpr std::size_t max_paused_in_renewal = 16;
 
 auto whole_ms(duration time) -> std::int64_t {
@@ -38,14 +36,19 @@
     -> void {
   const auto& head = *stages.front().endpoint;
   observe_limit(head, status, stated.limit, asked);
-  if (stated.leaving) observe_leaving(head, status);
-  if (observe_pause(head, stated.pause, asked)) return;
-  end_pause(head, asked);
+  observe_command(head, status, stated, asked);
   if (status / 100 != 2) return;
   for (std::size_t i = 1; i < stages.size(); ++i)
     end_pause(*stages[i].endpoint, asked);
 }
 
+auto notice_monitor::observe_command(const endpoint_view& endpoint, int status,
+                                     const endpoint_notices& stated,
+                                     instant asked) -> void {
+  if (stated.leaving) observe_leaving(endpoint, status);
+  if (!observe_pause(endpoint, stated, asked)) end_pause(endpoint, asked);
+}
+
 auto notice_monitor::refused_as_leaving(const chain& stages,
                                         const std::string& id) -> void {
   for (const auto& stage : stages)
@@ -90,20 +93,15 @@
 }
 
 auto notice_monitor::observe_pause(const endpoint_view& endpoint,
-                                   const pause_field& field, instant asked)
-    -> bool {
-  duration length{};
-  if (const auto* asked = std::get_if<pause_request>(&field)) {
-    length = asked->length;
-  } else if (const auto* unreadable = std::get_if<unreadable_pause>(&field)) {
-    length = default_pause;
+                                   const endpoint_notices& stated,
+                                   instant asked) -> bool {
+  const auto length = pause_length(stated);
+  if (!length) return false;
+  if (const auto* unreadable = std::get_if<unreadable_pause>(&stated.pause))
     log_event(log_level::warning, "pause.unreadable",
               {{"endpoint", endpoint.id}, {"value", unreadable->text}});
-  } else {
-    return false;
-  }
   const auto now = boottime_clock::now();
-  const auto change = notices_.add_pause(process_of(endpoint), length, now);
+  const auto change = notices_.add_pause(process_of(endpoint), *length, now);
   if (change == pause_change::none) return true;
   pauses_ += change == pause_change::began ? 1 : 0;
   const auto resume = notices_.returns_at(endpoint.id, endpoint.incarnation);
@@ -112,7 +110,7 @@
                                           : "endpoint.pause_renewed",
             {{"endpoint", endpoint.id},
              {"incarnation", endpoint.incarnation},
-             {"length_ms", whole_ms(length)},
+             {"length_ms", whole_ms(*length)},
              {"trial_in_ms", whole_ms(resume.value_or(now) - now)},
              {"asked_age_ms", whole_ms(now - asked)}});
   return true;
--- a/src/notice_monitor.hpp
+++ b/src/notice_monitor.hpp
@@ -25,6 +25,9 @@
   /// was sent at `asked`.
   auto observe(const chain& stages, int status, const endpoint_notices& stated,
                instant asked) -> void;
+  /// Takes the head of a response to a command, which states no limit.
+  auto observe_command(const endpoint_view& endpoint, int status,
+                       const endpoint_notices& stated, instant asked) -> void;
   /// Takes a refusal that names an endpoint of `stages` that leaves.
   auto refused_as_leaving(const chain& stages, const std::string& id) -> void;
   /// Takes changed records of the leader's directory.
@@ -47,8 +50,8 @@
                      const limit_field& field, instant asked) -> void;
   auto observe_leaving(const endpoint_view& endpoint, int status) -> void;
   /// True if the response asks for a pause.
-  auto observe_pause(const endpoint_view& endpoint, const pause_field& field,
-                     instant asked) -> bool;
+  auto observe_pause(const endpoint_view& endpoint,
+                     const endpoint_notices& stated, instant asked) -> bool;
   auto end_pause(const endpoint_view& endpoint, instant asked) -> void;
   auto apply_limit(const wire::endpoint_record& record) -> void;
   auto apply_state(const wire::endpoint_record& record) -> void;
