Evaluate relayed answers of endpoints that leave

A VM that has lost its links to endpoints passes on an answer that says that its endpoint leaves, and sends that endpoint a request once the links are back, which DRAIN forbids, in touch or not.

Cause: a relayed answer names no endpoint, so the VM that relayed the request could not keep its statement. The VM that got the answer tells the leader, but a VM that has lost its links may not reach the leader either.

Change: the VM that dispatches a relayed request names the endpoint and its process in a header between VMs, which endpoints cannot set and callers do not see. The VM that relayed it keeps and reports it as its own. A pause is not passed on: the endpoint has asked the other VM for it.

Versions: an earlier VM sends no such header, and its answers are passed on as before (a case of the test); one that relays to a later VM passes the header on to its caller until it is replaced.

What a VM can't know: which endpoint answered another VM, until now. At 380 VMs each learns it from the answers it passes on, all others from the leader.

--- a/src/front_response.cpp
+++ b/src/front_response.cpp
@@ -22,11 +22,16 @@
   response_head_ = platform::decode_response_head(status, headers);
   if (peer_) {
     relay_refusal_ = headers.find(relay_refused_header);
+    if (const auto endpoint = parse_relay_leaving(headers))
+      host_.notices().observe_relayed_leaving(*endpoint, status);
     return;
   }
-  if (!answers_other_request() && !response_head_.misdirected)
-    host_.notices().observe(stages_, status, response_head_.notices,
-                            dispatched_at_);
+  if (answers_other_request() || response_head_.misdirected) return;
+  host_.notices().observe(stages_, status, response_head_.notices,
+                          dispatched_at_);
+  if (params_.relayed && response_head_.notices.leaving)
+    response_.headers.add(relay_leaving_header,
+                          format_relay_leaving(*stages_.front().endpoint));
 }
 
 auto front_request::answers_other_request() const -> bool {
--- a/src/notice_monitor.cpp
+++ b/src/notice_monitor.cpp
@@ -45,7 +45,7 @@
 auto notice_monitor::observe_command(const endpoint_view& endpoint, int status,
                                      const endpoint_notices& stated,
                                      instant asked) -> void {
-  if (stated.leaving) observe_leaving(endpoint, status);
+  if (stated.leaving) observe_leaving(process_of(endpoint), status, "endpoint");
   if (!observe_pause(endpoint, stated, asked)) end_pause(endpoint, asked);
 }
 
@@ -53,7 +53,13 @@
                                         const std::string& id) -> void {
   for (const auto& stage : stages)
     if (stage.endpoint->id == id)
-      observe_leaving(*stage.endpoint, service_unavailable);
+      observe_leaving(process_of(*stage.endpoint), service_unavailable,
+                      "chain");
+}
+
+auto notice_monitor::observe_relayed_leaving(const endpoint_process& endpoint,
+                                             int status) -> void {
+  observe_leaving(endpoint, status, "vm");
 }
 
 auto notice_monitor::observe_limit(const endpoint_view& endpoint, int status,
@@ -80,14 +86,15 @@
              {"asked_age_ms", whole_ms(now - asked)}});
 }
 
-auto notice_monitor::observe_leaving(const endpoint_view& endpoint, int status)
-    -> void {
+auto notice_monitor::observe_leaving(const endpoint_process& endpoint,
+                                     int status, const char* source) -> void {
   const auto now = boottime_clock::now();
-  if (!notices_.add_leaving(process_of(endpoint), now)) return;
+  if (!notices_.add_leaving(endpoint, now)) return;
   log_event(log_level::info, "endpoint.leaving",
             {{"endpoint", endpoint.id},
              {"incarnation", endpoint.incarnation},
-             {"status", status}});
+             {"status", status},
+             {"told_by", source}});
   if (notices_.take_report(endpoint.id, endpoint.incarnation, now))
     leaving.emit(endpoint.id);
 }
--- a/src/notice_monitor.hpp
+++ b/src/notice_monitor.hpp
@@ -28,6 +28,9 @@
   /// Takes the head of a response to a command, which states no limit.
   auto observe_command(const endpoint_view& endpoint, int status,
                        const endpoint_notices& stated, instant asked) -> void;
+  /// Takes an answer that another VM got from an endpoint that leaves.
+  auto observe_relayed_leaving(const endpoint_process& endpoint, int status)
+      -> void;
   /// Takes a refusal that names an endpoint of `stages` that leaves.
   auto refused_as_leaving(const chain& stages, const std::string& id) -> void;
   /// Takes changed records of the leader's directory.
@@ -48,7 +51,8 @@
  private:
   auto observe_limit(const endpoint_view& endpoint, int status,
                      const limit_field& field, instant asked) -> void;
-  auto observe_leaving(const endpoint_view& endpoint, int status) -> void;
+  auto observe_leaving(const endpoint_process& endpoint, int status,
+                       const char* source) -> void;
   /// True if the response asks for a pause.
   auto observe_pause(const endpoint_view& endpoint,
                      const endpoint_notices& stated, instant asked) -> bool;
--- a/src/vm_relay.cpp
+++ b/src/vm_relay.cpp
@@ -20,8 +20,9 @@
 }  // namespace
 
 auto without_relay_headers(const http_headers& headers) -> http_headers {
-  constexpr std::array<const char*, 3> names{
-      relay_key_header, relay_attempts_header, relay_refused_header};
+  constexpr std::array<const char*, 4> names{
+      relay_key_header, relay_attempts_header, relay_refused_header,
+      relay_leaving_header};
   http_headers kept;
   for (const auto& field : headers.fields()) {
     const auto internal =
@@ -42,6 +43,20 @@
       std::max<std::int64_t>(1, attempts.value_or(1)))};
 }
 
+// An incarnation holds no blank.
+auto format_relay_leaving(const endpoint_view& endpoint) -> std::string {
+  return endpoint.id + " " + endpoint.incarnation;
+}
+
+auto parse_relay_leaving(const http_headers& headers)
+    -> std::optional<endpoint_process> {
+  const auto value = headers.find(relay_leaving_header);
+  const auto blank = value ? value->rfind(' ') : std::string::npos;
+  if (blank == std::string::npos || blank == 0 || blank + 1 == value->size())
+    return std::nullopt;
+  return endpoint_process{value->substr(0, blank), value->substr(blank + 1)};
+}
+
 auto make_relay_key() -> std::string {
   std::random_device source;
   std::string key;
--- a/src/vm_relay.hpp
+++ b/src/vm_relay.hpp
@@ -26,6 +26,9 @@
 inline constexpr auto relay_refused_here = "here";
 inline constexpr auto relay_refused_anywhere = "anywhere";
 
+/// Header of a relayed answer of an endpoint that leaves: `ID INCARNATION`.
+inline constexpr auto relay_leaving_header = "Pollenloft-Relay-Leaving";
+
 /// The headers without those between VMs, which neither callers nor endpoints
 /// may set or see.
 auto without_relay_headers(const http_headers& headers) -> http_headers;
@@ -38,6 +41,12 @@
 auto parse_relay_terms(const http_headers& headers, const std::string& key)
     -> std::optional<relay_terms>;
 
+/// Value of the header that names an endpoint that leaves.
+auto format_relay_leaving(const endpoint_view& endpoint) -> std::string;
+/// Empty unless the answer names an endpoint that leaves.
+auto parse_relay_leaving(const http_headers& headers)
+    -> std::optional<endpoint_process>;
+
 /// A random key.
 auto make_relay_key() -> std::string;
 
--- a/test/relayed_leaving_test.cpp
+++ b/test/relayed_leaving_test.cpp
@@ -24,6 +24,8 @@
   CPPUNIT_TEST(relayed_answer_of_an_endpoint_that_leaves_is_forgotten);
   CPPUNIT_TEST(relayed_stream_of_an_endpoint_that_leaves_is_forgotten);
   CPPUNIT_TEST(endpoint_excludes_another_one_by_a_relay_header);
+  CPPUNIT_TEST(answer_relayed_by_an_earlier_version_is_not_served);
+  CPPUNIT_TEST(malformed_relay_header_names_an_endpoint);
   CPPUNIT_TEST_SUITE_END();
 
   std::unique_ptr<fake_leader> other_leader_;
@@ -106,6 +108,26 @@
     CPPUNIT_ASSERT(!last_headers_.find("Pollenloft-Relay-Leaving"));
     CPPUNIT_ASSERT(!entry_->control().notices().endpoints().leaves("b", "1"));
   }
+
+  auto answer_relayed_by_an_earlier_version_is_not_served() -> void {
+    other_front_.reset();
+    http_server earlier(loop_, http_limits{}, [](const exchange_ptr& call) {
+      call->reply(200, answer_to(call).add("Server-Leaving", "1"), "done");
+    });
+    CPPUNIT_ASSERT(earlier.listen(other_relay_address));
+    lose_links();
+    CPPUNIT_ASSERT_EQUAL(200, send());
+    CPPUNIT_ASSERT(entry_->control().notices().endpoints().empty());
+  }
+
+  auto malformed_relay_header_names_an_endpoint() -> void {
+    for (const auto* value : {"", " ", "a", "a ", " 1"})
+      CPPUNIT_ASSERT(!parse_relay_leaving(
+          http_headers().add(relay_leaving_header, value)));
+    const auto named = parse_relay_leaving(
+        http_headers().add(relay_leaving_header, "a b 1.2"));
+    CPPUNIT_ASSERT(named && named->id == "a b" && named->incarnation == "1.2");
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(relayed_leaving_test);
