Report no endpoint as leaving for an answer of its earlier process

What callers would have seen: a service short of a sound endpoint.

Cause: a VM that learns from an answer that an endpoint leaves reports the endpoint's record to the leader. If the endpoint had started again meanwhile, that is the record of the new process, which is then out of use at all VMs until it starts once more.

Evidence: front_leaving_test's case late_statement_of_a_process_takes_its_ successor_out failed before: the report named process 2, the answer was to a request sent to process 1.

Change: the report is made only if the statement is of the process that the directory lists. Statements in refusals of the own interface and in relayed answers take the same way.

Looked at for the same cause: limits are kept and announced by incarnation; the leader's mark_leaving compares incarnations; pauses name the process.

--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -293,6 +293,8 @@
   const auto found = directory_.find(id);
   if (found == directory_.end()) return;
   auto record = found->second;
+  // An answer of an earlier process tells nothing of the one that is listed.
+  if (!control_.notices().endpoints().leaves(id, record.incarnation)) return;
   record.state = static_cast<std::int8_t>(endpoint_state::leaving);
   control_.report({record});
 }
--- a/test/front_leaving_test.cpp
+++ b/test/front_leaving_test.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(retry_reaches_an_endpoint_that_leaves);
   CPPUNIT_TEST(resumed_stream_reaches_an_endpoint_that_leaves);
   CPPUNIT_TEST(leader_is_not_told_who_leaves);
+  CPPUNIT_TEST(late_statement_of_a_process_takes_its_successor_out);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -181,6 +182,30 @@
     CPPUNIT_ASSERT_EQUAL(static_cast<std::int8_t>(endpoint_state::leaving),
                          report.state);
   }
+
+  auto late_statement_of_a_process_takes_its_successor_out() -> void {
+    exchange_ptr held;
+    handlers_["a"] = [&held](const exchange_ptr& call) { held = call; };
+    http_client other(loop_);
+    for (int i = 0; i < 50 && !held; ++i) {
+      http_call call{front_address, "POST", "/once/1"};
+      call.headers.add("Host", "h").add("Request-Id", "r");
+      other.send(call, {});
+      wait(milliseconds(10));
+    }
+    CPPUNIT_ASSERT(held);
+    handlers_.erase("a");
+    leader_->list(make_record("a", "2"));
+    wait(milliseconds(100));
+    held->reply(
+        200, http_headers().add("Request-Id", "r").add("Server-Leaving", "1"),
+        "");
+    wait(milliseconds(100));
+    for (const auto& report : leader_->reports)
+      CPPUNIT_ASSERT(report.incarnation != "2");
+    arrivals_["a"] = 0;
+    send_until_at("a");
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(front_leaving_test);
