Count no late answer of a runner's earlier process for its successor

What callers would have seen: a sound runner out of use until it starts once more, or requests sent to layers that a runner does not hold.

Cause: the leader took the answer to a probe or an assignment for the process that the directory lists when the answer arrives, not for the one that it was sent to.

Evidence: probe_restart_test failed before, 4 of 4 cases: an answer to process 1 marks process 2 as leaving, gives it a pause, lists the layers of process 1 as held by it, and a missed probe of process 1 counts for it.

Change: each probe, listener probe and assignment carries the process that it was sent to; a response counts only while that is the process probed. A result of a listener probe from an earlier term is dropped, too.

--- a/src/layer_placer.cpp
+++ b/src/layer_placer.cpp
@@ -189,19 +189,26 @@
   status.probe_in_flight = true;
   status.probe_sent = now;
   pauses_.take(record.id, record.incarnation, now);
-  client_.send(platform::encode_state_probe(*address),
-               {[this, alive = alive_, id = record.id, now](
-                    int code, const auto& headers) {
-                  if (*alive)
-                    observe_notices(
-                        id, platform::decode_endpoint_notices(code, headers),
-                        now);
-                },
-                {},
-                [this, alive = alive_, id = record.id, now](const auto& result,
-                                                            auto body) {
-                  if (*alive) handle_probe_response(id, now, result, body);
-                }});
+  const endpoint_process runner{record.id, record.incarnation, record.slots};
+  client_.send(
+      platform::encode_state_probe(*address),
+      {[this, alive = alive_, runner, now](int code, const auto& headers) {
+         if (*alive)
+           observe_notices(
+               runner, platform::decode_endpoint_notices(code, headers), now);
+       },
+       {},
+       [this, alive = alive_, runner, now](const auto& result, auto body) {
+         if (*alive) handle_probe_response(runner, now, result, body);
+       }});
+}
+
+auto layer_placer::find_status(const endpoint_process& runner)
+    -> runner_status* {
+  const auto found = runners_.find(runner.id);
+  const auto same = found != runners_.end() &&
+                    found->second.incarnation == runner.incarnation;
+  return same ? &found->second : nullptr;
 }
 
 auto layer_placer::probe_listener(const wire::endpoint_record& record,
@@ -211,12 +218,16 @@
   if (!address || now - status.listener_probed < listener_probe_interval)
     return;
   status.listener_probed = now;
-  listeners_.probe(
-      *address, listener_timeout, [this, id = record.id](listener_state state) {
-        if (state != listener_state::listening)
-          return handle_missed_probe(id, state == listener_state::refused);
-        runners_[id].missed_probes = 0;
-      });
+  const endpoint_process runner{record.id, record.incarnation, record.slots};
+  listeners_.probe(*address, listener_timeout,
+                   [this, runner](listener_state state) {
+                     auto* current = find_status(runner);
+                     if (current == nullptr) return;
+                     if (state != listener_state::listening)
+                       return handle_missed_probe(
+                           runner.id, state == listener_state::refused);
+                     current->missed_probes = 0;
+                   });
 }
 
 auto layer_placer::pauses(const std::string& id, instant now) const -> bool {
@@ -224,14 +235,13 @@
 }
 
 /// A runner that leaves may not have reported it yet, or not at all.
-auto layer_placer::observe_notices(const std::string& id,
+auto layer_placer::observe_notices(const endpoint_process& runner,
                                    const endpoint_notices& stated,
                                    instant asked) -> void {
-  const auto found = runners_.find(id);
-  if (found == runners_.end()) return;
-  const auto& incarnation = found->second.incarnation;
+  if (find_status(runner) == nullptr) return;
+  const auto& [id, incarnation, slots] = runner;
   if (const auto length = pause_length(stated)) {
-    pauses_.add_pause({id, incarnation}, *length, boottime_clock::now());
+    pauses_.add_pause(runner, *length, boottime_clock::now());
     log_event(log_level::info, "runner.paused",
               {{"endpoint", id},
                {"incarnation", incarnation},
@@ -247,12 +257,14 @@
   changed.emit(id);
 }
 
-auto layer_placer::handle_probe_response(const std::string& id, instant asked,
+auto layer_placer::handle_probe_response(const endpoint_process& runner,
+                                         instant asked,
                                          const call_result& result,
                                          std::string_view body) -> void {
-  const auto found = runners_.find(id);
-  if (found == runners_.end()) return;
-  auto& status = found->second;
+  auto* current = find_status(runner);
+  if (current == nullptr) return;
+  const auto& id = runner.id;
+  auto& status = *current;
   status.probe_in_flight = false;
   const auto* response = std::get_if<call_completed>(&result);
   auto state = response != nullptr && response->status == 200
@@ -383,7 +395,8 @@
   status.assignment_in_flight = true;
   status.assignment_sent = now;
   status.wanted = range;
-  const auto id = record.id;
+  const endpoint_process runner{record.id, record.incarnation, record.slots};
+  const auto& id = runner.id;
   record_layers(id, {status.state->first_layer, status.state->last_layer});
   log_event(log_level::info, "layers.ordered",
             {{"endpoint", id},
@@ -397,23 +410,25 @@
                                           status.state->sequence};
   client_.send(
       platform::encode_layer_assignment(*address, wanted),
-      {[this, alive = alive_, id, now](int code, const auto& headers) {
+      {[this, alive = alive_, runner, now](int code, const auto& headers) {
          if (*alive)
-           observe_notices(id, platform::decode_endpoint_notices(code, headers),
-                           now);
+           observe_notices(
+               runner, platform::decode_endpoint_notices(code, headers), now);
        },
        {},
-       [this, alive = alive_, id, range](const auto& result, auto /*body*/) {
-         if (*alive) handle_assignment_result(id, range, result);
+       [this, alive = alive_, runner, range](const auto& result,
+                                             auto /*body*/) {
+         if (*alive) handle_assignment_result(runner, range, result);
        }});
 }
 
-auto layer_placer::handle_assignment_result(const std::string& id,
+auto layer_placer::handle_assignment_result(const endpoint_process& runner,
                                             layer_range range,
                                             const call_result& result) -> void {
-  const auto found = runners_.find(id);
-  if (found == runners_.end()) return;
-  auto& status = found->second;
+  auto* current = find_status(runner);
+  if (current == nullptr) return;
+  const auto& id = runner.id;
+  auto& status = *current;
   status.assignment_in_flight = false;
   status.probe_sent = {};
   const auto* response = std::get_if<call_completed>(&result);
--- a/src/layer_placer.hpp
+++ b/src/layer_placer.hpp
@@ -68,19 +68,23 @@
   auto probe(const wire::endpoint_record& record, instant now) -> void;
   /// Looks for a listener of a runner that pauses, without a call.
   auto probe_listener(const wire::endpoint_record& record, instant now) -> void;
+  /// The status of this process; null if the runner has started again or a new
+  /// term has begun.
+  auto find_status(const endpoint_process& runner) -> runner_status*;
   /// Takes the response to a probe that was sent at `asked`.
-  auto handle_probe_response(const std::string& id, instant asked,
+  auto handle_probe_response(const endpoint_process& runner, instant asked,
                              const call_result& result, std::string_view body)
       -> void;
-  /// Takes what a runner states of itself in the head of a probe response.
-  auto observe_notices(const std::string& id, const endpoint_notices& stated,
-                       instant asked) -> void;
+  /// Takes what a runner states of itself in the head of a response.
+  auto observe_notices(const endpoint_process& runner,
+                       const endpoint_notices& stated, instant asked) -> void;
   auto check_assignment(const std::string& id, runner_status& status,
                         layer_range held) -> void;
   auto assign_layers(const wire::endpoint_record& record, layer_range range,
                      instant now) -> void;
-  auto handle_assignment_result(const std::string& id, layer_range range,
-                                const call_result& result) -> void;
+  auto handle_assignment_result(const endpoint_process& runner,
+                                layer_range range, const call_result& result)
+      -> void;
   auto record_layers(const std::string& id, layer_range range) -> void;
   auto record_load(const std::string& id, const platform::runner_state& state)
       -> void;
