--- a/include/pollenloft/notice.hpp
+++ b/include/pollenloft/notice.hpp
@@ -102,7 +102,7 @@
               instant now) const -> bool;
   auto leaves(const std::string& id, const std::string& incarnation) const
       -> bool;
-  /// Whether the endpoint wants no calls now, except that it may leave.
+  /// Whether the endpoint pauses now, whether or not it leaves.
   auto pauses(const std::string& id, const std::string& incarnation,
               instant now) const -> bool;
   /// When the trial may be sent; empty if the endpoint does not pause.
