check upgrade: let the process that replaces the lost leader start first

Cause: the check kills the leader after three control VMs were replaced, starts it again and replaces the next one in the list by SIGTERM. If the leader is control-4, that is the process just started, which ends by the signal before it handles signals; its code counts as a cut. In the kept log control-4 has no line of that process (4 starts, 2 stops), the four others have all. Each of three processes of pollenloft-controld that got SIGTERM right after their start ended with code 143 and no line.

Change: the check waits until the new process has started. Bounds stay: no code but 0, cut=0. Ruled out: a product fault, since a process that has not started has accepted nothing.

--- a/scripts/check_upgrade.sh
+++ b/scripts/check_upgrade.sh
@@ -87,12 +87,18 @@
   done
   check_withdrawn_key
 }
+# The next process replaced may be the same one. A SIGTERM before it handles
+# signals would end it with a code that counts as a cut.
 replace_leader() { # SOURCE-FOLDER BUILD-FOLDER: the leader is lost without a stop
-  local leader
+  local leader starts
   leader=$(leader_number)
   kill_hard "control-$leader"
+  starts=$(starts_of "control-$leader")
   start_version "$1" "$2" "control-$leader"
+  wait_for 15 has_started "control-$leader" "$starts"
 }
+starts_of() { grep -c event=started "$work/$1.log"; }
+has_started() { (($(starts_of "$1") > $2)); } # PROCESS STARTS-BEFORE
 
 # One change of the configuration and one of the document; both must be in force
 # on all VMs that are ready 0.8 s later.
