Do not end a stream as whole when the endpoint that resumes it answers an error

Cause: an answer with status 500 fails the attempt only if nothing has been sent to the caller yet; otherwise it counted as the end of the stream. So did any other status but 200. Class: an answer that broke off reaches the caller as a success.

Evidence: front_request_test failed before in both new cases: with 500 (then 502, 404, 204) after the first event the stream ended as whole, and with an attempt left it was not resumed again.

Change: once a caller reads a stream, an answer other than 200 fails the attempt; the stream is resumed again or, without attempts, aborted.

Looked at for the same cause: the own interface takes any answer without an end event for a failure; relayed resumptions go through the same line; refusals that prove that nothing ran were handled before it. A resumption that answers 200 without a further event can't be told from the end of the stream.

--- a/src/front_response.cpp
+++ b/src/front_response.cpp
@@ -122,12 +122,13 @@
   if (response_head_.not_run && !peer_) return handle_refusal();
   response_.body = body;
   const auto failed = response_.status >= 500;
-  if (failed && !peer_ && params_.route->may_repeat() &&
-      !exchange_->started()) {
-    failed_response_ = response_;
+  const auto started = exchange_->started();
+  const auto repeatable = failed && !peer_ && params_.route->may_repeat();
+  if (repeatable && !started) failed_response_ = response_;
+  // An error in place of the rest of a stream must not end it as whole.
+  if (started ? response_.status != 200 : repeatable)
     return fail_attempt({"answer.status", stages_.front().endpoint->id,
                          std::to_string(response_.status)});
-  }
   if (is_stream() && response_.status == 200 && !partial_event_.empty())
     return fail_attempt({"answer.event", stages_.front().endpoint->id,
                          "the last event is not whole"});
--- a/test/front_request_test.cpp
+++ b/test/front_request_test.cpp
@@ -15,6 +15,8 @@
   CPPUNIT_TEST(truncated_response_is_not_a_success);
   CPPUNIT_TEST(stream_resumes_after_the_last_complete_event);
   CPPUNIT_TEST(refused_resumption_is_retried);
+  CPPUNIT_TEST(error_of_a_resumption_ends_the_stream_as_whole);
+  CPPUNIT_TEST(error_of_a_resumption_is_not_retried);
   CPPUNIT_TEST(stream_waits_for_the_retry_budget);
   CPPUNIT_TEST(non_resumable_stream_is_aborted);
   CPPUNIT_TEST(missing_event_aborts_the_stream);
@@ -149,6 +151,41 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, received_.size());
   }
 
+  /// The first runner breaks off after an event, the second one answers with
+  /// `status`, the third one goes on.
+  auto resume_after_error(int status, std::size_t attempts) -> void {
+    make_stream(true);
+    route_.max_attempts = attempts;
+    add_endpoint("e2", endpoint_address);
+    add_endpoint("e3", endpoint_address);
+    received_.clear();
+    body_.clear();
+    endpoint_handler_ = [this, status](const exchange_ptr& call,
+                                       std::size_t call_number) {
+      if (call_number == 2)
+        return call->reply(status, endpoint_headers(), "error\n\n");
+      call->start(200, endpoint_headers());
+      call->chunk(event(call_number == 1 ? 1 : 2));
+      if (call_number == 1) return abort_soon(call);
+      call->end();
+    };
+    CPPUNIT_ASSERT_EQUAL(200, send_request());
+  }
+
+  auto error_of_a_resumption_ends_the_stream_as_whole() -> void {
+    for (const int status : {500, 502, 404, 204}) {
+      resume_after_error(status, 2);
+      CPPUNIT_ASSERT(!completed());
+      CPPUNIT_ASSERT_EQUAL(event(1), body_);
+    }
+  }
+
+  auto error_of_a_resumption_is_not_retried() -> void {
+    resume_after_error(500, 3);
+    CPPUNIT_ASSERT(completed());
+    CPPUNIT_ASSERT_EQUAL(event(1) + event(2), body_);
+  }
+
   /// Guards against aborting streams that cannot be resumed at once because the
   /// replacement of runners has used up the retry budget.
   auto stream_waits_for_the_retry_budget() -> void {
