Split HTTP client and server from the event loop, and the framing tests

The client, the server and the loop have a file each; raw endpoints and the entry VM before them are fixtures of their own.

--- a/include/pollenloft/net.hpp
+++ b/include/pollenloft/net.hpp
@@ -128,6 +128,16 @@
   std::string peer;  ///< address of the sender, `a.b.c.d:port`
 };
 
+/// What marks the end of a message body.
+enum class body_end {
+  length,  ///< announced before it; also that of a message without a body
+  last_chunk,
+  /// The sender closes the connection. A process that ends closes it, too, so
+  /// this doesn't prove that the body is whole.
+  connection
+};
+auto body_end_name(body_end end) -> const char*;
+
 /// A request received by `http_server` and its response. Every exchange is
 /// answered: one destroyed before a reply gets status 500, one destroyed during
 /// a chunked response is aborted. Replies after the caller has disconnected are
@@ -231,6 +241,7 @@
 /// an end.
 struct call_completed {
   int status = 0;  ///< HTTP status code
+  body_end end = body_end::length;
 };
 /// The connection was not established; no byte of the request was sent.
 struct call_unsent {
--- /dev/null
+++ b/src/http_client.cpp
@@ -0,0 +1,434 @@
+// HTTP/1.1 client over evhttp.
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "net_detail.hpp"
+
+namespace pollenloft {
+
+using detail::to_timeval;
+
+namespace {
+
+constexpr int continue_status = 100;
+constexpr int max_status = 599;
+
+/// Whether all length fields are the same, and the transfer coding is one that
+/// evhttp decodes.
+auto framing_is_known(const http_headers& headers) -> bool {
+  const auto length = headers.find("Content-Length");
+  const auto& fields = headers.fields();
+  return std::all_of(fields.begin(), fields.end(), [&](const auto& field) {
+    const auto* name = field.first.c_str();
+    if (strcasecmp(name, "Content-Length") == 0) return field.second == *length;
+    return strcasecmp(name, "Transfer-Encoding") != 0 ||
+           strcasecmp(field.second.c_str(), "chunked") == 0;
+  });
+}
+
+auto find_body_end(evhttp_request* response, const http_headers& headers)
+    -> body_end {
+  const auto status = evhttp_request_get_response_code(response);
+  const auto has_body = status != HTTP_NOCONTENT &&
+                        status != HTTP_NOTMODIFIED &&
+                        evhttp_request_get_command(response) != EVHTTP_REQ_HEAD;
+  if (has_body && headers.find("Transfer-Encoding"))
+    return body_end::last_chunk;
+  return has_body && !headers.find("Content-Length") ? body_end::connection
+                                                     : body_end::length;
+}
+
+}  // namespace
+
+struct pending_call::impl {
+  event_loop& loop;
+  evhttp_connection* connection = nullptr;
+  evhttp_request* request = nullptr;  // owned by the connection
+  call_handlers handlers;
+  std::string peer;
+  std::string step;
+  timer timeout_timer;
+  timer connect_timer;
+  evhttp_request_error failure = EVREQ_HTTP_TIMEOUT;
+  bool done = false;
+  bool reusable = false;
+  int status = 0;
+  body_end end = body_end::length;  // of the response
+  std::string error_body;           // body of a response with another status
+  response_limits limits;
+  evbuffer_cb_entry* input_watch = nullptr;
+  const char* rejection = nullptr;  // of the response, by this client
+  std::shared_ptr<impl> self;       // keeps the state alive until released
+  sigc::slot<void(evhttp_connection*)> return_to_pool;
+
+  explicit impl(event_loop& loop) : loop(loop) {}
+
+  /// Returns the connection to the pool or closes it.
+  auto release(bool keep_connection) -> void {
+    if (!self) return;
+    done = true;
+    timeout_timer = timer();
+    connect_timer = timer();
+    evbuffer_remove_cb_entry(input(), input_watch);
+    // evhttp still uses the connection while its callback runs.
+    loop.post([state = std::move(self), keep_connection] {
+      if (keep_connection)
+        state->return_to_pool(state->connection);
+      else
+        evhttp_connection_free(state->connection);
+      state->handlers = {};
+    });
+  }
+
+  auto finish(const call_result& result, std::string_view body,
+              bool keep_connection) -> void {
+    if (done) return;
+    auto on_done = handlers.on_done;
+    auto state = self;
+    release(keep_connection);
+    if (on_done) on_done(result, body);
+  }
+
+  /// Nagle's algorithm would hold the end of a body back until the peer has
+  /// acknowledged the rest, which takes up to 40 ms.
+  auto disable_nagle() const -> void {
+    auto* stream = evhttp_connection_get_bufferevent(connection);
+    const int on = 1;
+    setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &on,
+               sizeof on);
+  }
+
+  auto connected() const -> bool {
+    auto* stream = evhttp_connection_get_bufferevent(connection);
+    sockaddr_in remote{};
+    socklen_t size = sizeof remote;
+    return getpeername(bufferevent_getfd(stream),
+                       reinterpret_cast<sockaddr*>(&remote),  // NOLINT
+                       &size) == 0;
+  }
+
+  auto input() const -> evbuffer* {
+    return bufferevent_get_input(evhttp_connection_get_bufferevent(connection));
+  }
+
+  /// Bytes of the response body that have arrived so far.
+  auto received_bytes() const -> std::size_t {
+    return evbuffer_get_length(evhttp_request_get_input_buffer(request)) +
+           evbuffer_get_length(input());
+  }
+
+  /// evhttp limits the header and the sum of all chunks, but neither the line
+  /// that begins a chunk nor, in a stream of any length, a chunk.
+  auto apply_limits() -> void {
+    evhttp_connection_set_max_headers_size(
+        connection, static_cast<ev_ssize_t>(limits.header_bytes));
+    evhttp_connection_set_max_body_size(
+        connection,
+        handlers.on_data ? -1 : static_cast<ev_ssize_t>(limits.body_bytes));
+    input_watch = evbuffer_add_cb(input(), &on_input, this);
+  }
+
+  static auto on_input(evbuffer* buffer, const evbuffer_cb_info* change,
+                       void* arg) -> void {
+    auto* self = static_cast<impl*>(arg);
+    const auto limit = self->limits.header_bytes + self->limits.body_bytes;
+    if (change->n_added == 0 || evbuffer_get_length(buffer) <= limit) return;
+    // The bufferevent still reads.
+    self->loop.post([state = self->self] {
+      if (!state->done) state->interrupt_oversized();
+    });
+  }
+
+  auto interrupt_oversized() -> void {
+    failure = EVREQ_HTTP_DATA_TOO_LONG;
+    finish(call_interrupted{{step, peer, failure_text()}, received_bytes()}, {},
+           false);
+  }
+
+  auto on_timeout() -> void {
+    finish(call_interrupted{{step, peer, "timed out"}, received_bytes()}, {},
+           false);
+  }
+
+  auto on_connect_timeout() -> void {
+    if (connected()) return;
+    finish(call_unsent{{step, peer, "connection timed out"}}, {}, false);
+  }
+
+  static auto on_error(evhttp_request_error what, void* arg) -> void {
+    static_cast<impl*>(arg)->failure = what;
+  }
+
+  static auto on_header(evhttp_request* handle, void* arg) -> int {
+    auto* self = static_cast<impl*>(arg);
+    if (self->done) return 0;
+    return self->handle_header(handle) ? 0 : -1;
+  }
+
+  auto handle_header(evhttp_request* handle) -> bool {
+    auto* fields = evhttp_request_get_input_headers(handle);
+    status = evhttp_request_get_response_code(handle);
+    // evhttp reads the final response into the same fields.
+    if (status == continue_status) {
+      evhttp_clear_headers(fields);
+      return true;
+    }
+    const auto headers = detail::read_headers(fields);
+    if (status < HTTP_OK || status > max_status || !framing_is_known(headers)) {
+      rejection = "invalid response";
+      return false;
+    }
+    end = find_body_end(handle, headers);
+    // With any other Connection field, evhttp expects no body.
+    if (end == body_end::connection) {
+      while (evhttp_remove_header(fields, "Connection") == 0) {
+      }
+      evhttp_add_header(fields, "Connection", "close");
+    }
+    if (handlers.on_headers) handlers.on_headers(status, headers);
+    return true;
+  }
+
+  static auto on_chunk(evhttp_request* handle, void* arg) -> void {
+    auto* self = static_cast<impl*>(arg);
+    const auto data =
+        detail::buffer_text(evhttp_request_get_input_buffer(handle));
+    if (self->done) return;
+    self->status = evhttp_request_get_response_code(handle);
+    if (self->status != HTTP_OK) {
+      self->error_body += data;
+      if (self->error_body.size() > self->limits.body_bytes)
+        self->interrupt_oversized();
+      return;
+    }
+    auto state = self->self;
+    self->handlers.on_data(data);
+  }
+
+  static auto on_complete(evhttp_request* handle, void* arg) -> void {
+    auto* self = static_cast<impl*>(arg);
+    if (self->done) return;
+    if (handle == nullptr)
+      return self->finish(
+          call_interrupted{{self->step, self->peer, self->failure_text()}}, {},
+          false);
+    if (evhttp_request_get_response_code(handle) == 0)
+      return self->finish(
+          call_unsent{{self->step, self->peer, "connection not made"}}, {},
+          false);
+    const auto body =
+        self->error_body +
+        detail::buffer_text(evhttp_request_get_input_buffer(handle));
+    self->status = evhttp_request_get_response_code(handle);
+    self->finish(call_completed{self->status, self->end}, body, self->reusable);
+  }
+
+  auto failure_text() const -> std::string {
+    if (rejection != nullptr) return rejection;
+    switch (failure) {
+      case EVREQ_HTTP_TIMEOUT:
+        return "timed out";
+      case EVREQ_HTTP_EOF:
+        return "connection closed";
+      case EVREQ_HTTP_INVALID_HEADER:
+        return "invalid header";
+      case EVREQ_HTTP_DATA_TOO_LONG:
+        return "response too long";
+      default:
+        return "connection failed";
+    }
+  }
+};
+
+pending_call::pending_call(std::shared_ptr<impl> state)
+    : impl_(std::move(state)) {}
+pending_call::~pending_call() = default;
+auto pending_call::cancel() -> void {
+  impl_->release(false);
+}
+
+struct http_client::impl {
+  explicit impl(event_loop& loop) : loop(loop) {}
+
+  event_loop& loop;
+  std::map<std::string, std::vector<evhttp_connection*>> idle_by_peer;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+  ~impl() {
+    *alive = false;
+    for (auto& [peer, connections] : idle_by_peer)
+      for (auto* connection : connections)
+        free_idle(connection);
+  }
+
+  /// Frees an idle connection without a call of its close callback.
+  static auto free_idle(evhttp_connection* connection) -> void {
+    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    evhttp_connection_free(connection);
+  }
+
+  /// Removes an idle connection that the peer has closed from the pool.
+  static auto on_idle_close(evhttp_connection* connection, void* arg) -> void {
+    auto* self = static_cast<impl*>(arg);
+    for (auto& [peer, connections] : self->idle_by_peer) {
+      const auto found =
+          std::find(connections.begin(), connections.end(), connection);
+      if (found == connections.end()) continue;
+      connections.erase(found);
+      self->loop.post([connection] { free_idle(connection); });
+      return;
+    }
+  }
+
+  /// Takes an idle connection from the pool, or opens a new one.
+  auto acquire(const http_call& call) -> evhttp_connection* {
+    auto& connections = idle_by_peer[call.peer.text()];
+    if (call.keep_alive && !connections.empty()) {
+      auto* connection = connections.back();
+      connections.pop_back();
+      evhttp_connection_set_closecb(connection, nullptr, nullptr);
+      return connection;
+    }
+    return evhttp_connection_base_new(loop.base(), nullptr,
+                                      call.peer.host.c_str(), call.peer.port);
+  }
+};
+
+http_client::http_client(event_loop& loop)
+    : impl_(std::make_unique<impl>(loop)) {}
+http_client::~http_client() = default;
+
+auto http_client::send(const http_call& call, call_handlers handlers)
+    -> pending_call_ptr {
+  auto state = std::make_shared<pending_call::impl>(impl_->loop);
+  state->self = state;
+  state->handlers = std::move(handlers);
+  state->peer = call.peer.text();
+  state->step = "http.call " + call.target;
+  state->reusable = call.keep_alive;
+  state->connection = impl_->acquire(call);
+  state->return_to_pool = [this, alive = impl_->alive,
+                           peer = state->peer](evhttp_connection* connection) {
+    if (!*alive) return evhttp_connection_free(connection);
+    impl_->idle_by_peer[peer].push_back(connection);
+    evhttp_connection_set_closecb(connection, &impl::on_idle_close,
+                                  impl_.get());
+  };
+  evhttp_connection_set_retries(state->connection, 0);
+  state->limits = call.limits;
+  state->apply_limits();
+
+  auto* raw = state.get();
+  auto* handle = evhttp_request_new(&pending_call::impl::on_complete, raw);
+  state->request = handle;
+  evhttp_request_set_error_cb(handle, &pending_call::impl::on_error);
+  evhttp_request_set_header_cb(handle, &pending_call::impl::on_header);
+  if (state->handlers.on_data)
+    evhttp_request_set_chunked_cb(handle, &pending_call::impl::on_chunk);
+  auto* output = evhttp_request_get_output_headers(handle);
+  if (!call.headers.find("Host"))
+    evhttp_add_header(output, "Host", call.peer.host.c_str());
+  if (!call.keep_alive) evhttp_add_header(output, "Connection", "close");
+  detail::write_headers(output, call.headers);
+  evbuffer_add(evhttp_request_get_output_buffer(handle), call.body.data(),
+               call.body.size());
+  state->timeout_timer =
+      impl_->loop.after(call.timeout, [raw] { raw->on_timeout(); });
+  if (call.connect_timeout < call.timeout)
+    state->connect_timer = impl_->loop.after(
+        call.connect_timeout, [raw] { raw->on_connect_timeout(); });
+  evhttp_make_request(state->connection, handle,
+                      detail::method_code(call.method), call.target.c_str());
+  state->disable_nagle();
+  return std::make_shared<pending_call>(state);
+}
+
+struct listener_prober::impl {
+  struct attempt {
+    impl* owner = nullptr;
+    std::string peer;
+    bufferevent* stream = nullptr;
+    std::vector<handler> handlers;
+    timer timeout;
+
+    attempt() = default;
+    attempt(const attempt&) = delete;
+    auto operator=(const attempt&) -> attempt& = delete;
+    ~attempt() {
+      if (stream != nullptr) bufferevent_free(stream);
+    }
+  };
+
+  explicit impl(event_loop& loop) : loop(loop) {}
+
+  auto finish(const std::string& peer, listener_state state) -> void {
+    const auto found = attempts.find(peer);
+    if (found == attempts.end()) return;
+    // libevent and the timer still use the attempt while their callback runs.
+    auto ended = std::shared_ptr<attempt>(std::move(found->second));
+    attempts.erase(found);
+    loop.post([ended] {});
+    for (const auto& done : std::exchange(ended->handlers, {}))
+      done(state);
+  }
+
+  static auto on_event(bufferevent* /*stream*/, short what, void* arg) -> void {
+    const auto* self = static_cast<attempt*>(arg);
+    const auto code = EVUTIL_SOCKET_ERROR();
+    const auto refused = code == ECONNREFUSED || code == ECONNRESET;
+    const auto state =
+        (what & BEV_EVENT_CONNECTED) != 0
+            ? listener_state::listening
+            : (refused ? listener_state::refused : listener_state::unknown);
+    self->owner->finish(self->peer, state);
+  }
+
+  auto connect(attempt& started, const socket_address& peer) -> bool {
+    sockaddr_in remote{};
+    remote.sin_family = AF_INET;
+    remote.sin_port = htons(peer.port);
+    remote.sin_addr.s_addr = htonl(ipv4_number(peer.host));
+    started.stream =
+        bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(started.stream, nullptr, nullptr, &on_event, &started);
+    return bufferevent_socket_connect(
+               started.stream,
+               reinterpret_cast<sockaddr*>(&remote),  // NOLINT
+               sizeof remote) == 0;
+  }
+
+  event_loop& loop;
+  std::map<std::string, std::unique_ptr<attempt>> attempts;  // by peer
+};
+
+listener_prober::listener_prober(event_loop& loop)
+    : impl_(std::make_unique<impl>(loop)) {}
+listener_prober::~listener_prober() = default;
+
+auto listener_prober::probe(const socket_address& peer, duration timeout,
+                            handler done) -> void {
+  const auto name = peer.text();
+  auto& current = impl_->attempts[name];
+  const auto is_new = !current;
+  if (is_new) current = std::make_unique<impl::attempt>();
+  current->handlers.push_back(std::move(done));
+  if (!is_new) return;
+  current->owner = impl_.get();
+  current->peer = name;
+  auto* state = impl_.get();
+  current->timeout = impl_->loop.after(
+      timeout, [state, name] { state->finish(name, listener_state::unknown); });
+  if (!impl_->connect(*current, peer))
+    impl_->finish(name, listener_state::unknown);
+}
+
+}  // namespace pollenloft
