Log how endpoints end their answers

Hypotheses about streams that end early (docs/incidents/2026-12-stream-ended-early.md) differ in how the body ended, at which endpoint, after which pause and in which attempt. answer.ended names them: at level info where the connection alone marked the end or the request was repeated, else at debug. pollenloft_answers_total counts answers by that mark, on the front and on the own interface.

--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -269,7 +269,10 @@
                                          const call_result& result,
                                          std::string_view body) -> void {
   if (attempt != lifecycle_.attempt() || !dispatch_active_) return;
-  std::visit(overloaded{[&](const call_completed& /*completed*/) {
+  std::visit(overloaded{[&](const call_completed& completed) {
+                          host_.record_answer_end(
+                              {dispatch_id_, lifecycle_.attempt(),
+                               stages_.front().endpoint->id, 1, completed});
                           if (plain_status_ == 0) return handle_refusal(body);
                           response_text_ = body;
                           release_slots(dispatch_result::served, "");
--- a/src/dispatch_host.hpp
+++ b/src/dispatch_host.hpp
@@ -20,6 +20,17 @@
 /// requests.
 inline constexpr auto endpoint_connect_timeout = milliseconds(400);
 
+/// A complete answer of an endpoint.
+struct ended_answer {
+  std::string request_id;
+  std::size_t attempt = 0;
+  std::string endpoint;
+  std::size_t stages = 1;
+  call_completed result;
+  std::size_t events = 0;   ///< forwarded to the caller so far
+  milliseconds silence{0};  ///< before the end
+};
+
 template <class Request>
 class dispatch_host {
  public:
@@ -58,6 +69,24 @@
       metrics_registry().add("pollenloft_paused_refusals_total");
     return wait;
   }
+  /// Logs and counts how an endpoint ended an answer. An end that proves
+  /// nothing, and that of a repeated request, has a line at any level.
+  auto record_answer_end(const ended_answer& answer) -> void {
+    const auto* end = body_end_name(answer.result.end);
+    const auto plain_case =
+        answer.result.end != body_end::connection && answer.attempt == 1;
+    log_event(plain_case ? log_level::debug : log_level::info, "answer.ended",
+              {{"id", answer.request_id},
+               {"attempt", answer.attempt},
+               {"endpoint", answer.endpoint},
+               {"stages", answer.stages},
+               {"status", answer.result.status},
+               {"end", end},
+               {"events", answer.events},
+               {"silence_ms", answer.silence.count()}});
+    metrics_registry().add("pollenloft_answers_total",
+                           std::string("end=\"") + end + "\"");
+  }
   /// Counts a request to an endpoint that has named a limit.
   auto count_limited_dispatch(const endpoint_view& endpoint) -> void {
     if (control().limiter().limits().find(endpoint.id) != nullptr)
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -114,6 +114,7 @@
   auto forward(const std::string& events) -> void;
   auto handle_done(std::size_t attempt, const call_result& result,
                    std::string_view body) -> void;
+  auto record_answer_end(const call_completed& completed) -> void;
   auto handle_response(std::string_view body) -> void;
   auto handle_refusal() -> void;
   auto handle_relay_refusal(const std::string& where) -> void;
@@ -189,6 +190,7 @@
   std::string partial_event_;  // bytes of an incomplete event
   std::optional<std::int64_t> last_event_id_;
   std::size_t events_forwarded_ = 0;
+  instant data_at_{};                    // of the last part of a stream
   bool parts_survived_ = false;          // in this attempt
   bool prompt_survived_ = false;         // in any attempt
   std::size_t attempt_first_event_ = 0;  // `events_forwarded_` at its start
--- a/src/front_response.cpp
+++ b/src/front_response.cpp
@@ -45,6 +45,7 @@
   if (answers_other_request())
     return fail_attempt({"answer.head", stages_.front().endpoint->id,
                          "the answer is for another request"});
+  data_at_ = boottime_clock::now();
   const auto searched = partial_event_.size();
   partial_event_ += bytes;
   if (partial_event_.size() > max_event_bytes)
@@ -104,7 +105,10 @@
 auto front_request::handle_done(std::size_t attempt, const call_result& result,
                                 std::string_view body) -> void {
   if (attempt != lifecycle_.attempt() || !dispatch_active_) return;
-  std::visit(overloaded{[&](const call_completed&) { handle_response(body); },
+  std::visit(overloaded{[&](const call_completed& completed) {
+                          record_answer_end(completed);
+                          handle_response(body);
+                        },
                         [this](const call_unsent& unsent) {
                           handle_unsent(unsent.cause);
                         },
@@ -114,6 +118,15 @@
              result);
 }
 
+auto front_request::record_answer_end(const call_completed& completed) -> void {
+  const auto now = boottime_clock::now();
+  const auto silence = data_at_ < dispatched_at_ ? duration(0) : now - data_at_;
+  host_.record_answer_end({params_.headers.request_id, lifecycle_.attempt(),
+                           stages_.front().endpoint->id, stages_.size(),
+                           completed, events_forwarded_,
+                           std::chrono::duration_cast<milliseconds>(silence)});
+}
+
 auto front_request::handle_response(std::string_view body) -> void {
   if (answers_other_request())
     return fail_attempt({"answer.head", stages_.front().endpoint->id,
