--- a/test/raw_endpoint.hpp
+++ b/test/raw_endpoint.hpp
@@ -16,7 +16,9 @@
 
 namespace pollenloft::test::raw {
 
-enum class ending { none, closed, reset };
+/// `crashed` closes the listener and all connections, as the end of a process
+/// does.
+enum class ending { none, closed, reset, crashed };
 
 /// An endless response stops here, which takes longer than the bounds allow.
 inline constexpr std::size_t endless_bytes = 24 * 1024 * 1024;
@@ -29,12 +31,23 @@
   std::string repeated{};
 };
 
-/// An endpoint that sends bytes as they are. The responses are sent in turn,
-/// the last one again for each further request.
+/// The responses that endpoints send in turn, the last one again for each
+/// further request, and the requests that they got.
+struct raw_script {
+  std::vector<raw_response> responses;
+  std::vector<std::string> received;
+};
+
+/// An endpoint that sends bytes as they are.
 class raw_endpoint {
  public:
-  raw_endpoint(event_loop& loop, const socket_address& address)
-      : listener_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
+  raw_endpoint(
+      event_loop& loop, const socket_address& address,
+      std::shared_ptr<raw_script> script = std::make_shared<raw_script>())
+      : responses(script->responses),
+        received(script->received),
+        script_(std::move(script)),
+        listener_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
     const int on = 1;
     setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     sockaddr_in local{};
@@ -47,11 +60,7 @@
     CPPUNIT_ASSERT_EQUAL(0, ::listen(listener_, 16));
     timer_ = loop.every(milliseconds(1), [this] { work(); });
   }
-  ~raw_endpoint() {
-    for (const auto& each : connections_)
-      if (each.socket >= 0) ::close(each.socket);
-    ::close(listener_);
-  }
+  ~raw_endpoint() { crash(); }
   raw_endpoint(const raw_endpoint&) = delete;
   auto operator=(const raw_endpoint&) -> raw_endpoint& = delete;
 
@@ -60,8 +69,8 @@
                          [](const auto& each) { return each.socket >= 0; });
   }
 
-  std::vector<raw_response> responses;
-  std::vector<std::string> received;  ///< requests
+  std::vector<raw_response>& responses;
+  std::vector<std::string>& received;
 
  private:
   struct connection {
@@ -73,7 +82,15 @@
     ending end = ending::none;
   };
 
+  auto crash() -> void {
+    if (listener_ >= 0) ::close(listener_);
+    listener_ = -1;
+    for (auto& each : connections_)
+      if (each.socket >= 0) close(each, ending::closed);
+  }
+
   auto work() -> void {
+    if (listener_ < 0) return;
     for (int socket = ::accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK);
          socket >= 0;
          socket = ::accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK))
@@ -90,7 +107,9 @@
     if (size > 0) each.input.append(part.data(), std::size_t(size));
     // All requests of these tests have this body.
     if (each.input.find("hello") != std::string::npos) answer(each);
-    write(each);
+    if (!write(each) || each.end == ending::none) return;
+    if (each.end == ending::crashed) return crash();
+    close(each, each.end);
   }
 
   auto answer(connection& each) -> void {
@@ -102,7 +121,8 @@
     each.end = response.end;
   }
 
-  static auto write(connection& each) -> void {
+  /// Whether all of the response is sent.
+  static auto write(connection& each) -> bool {
     for (;;) {
       while (!each.repeated.empty() && each.output.size() < 65536 &&
              each.sent < endless_bytes)
@@ -110,12 +130,11 @@
       if (each.output.empty()) break;
       const auto size =
           ::write(each.socket, each.output.data(), each.output.size());
-      if (size < 0) return;
+      if (size < 0) return false;
       each.sent += std::size_t(size);
       each.output.erase(0, std::size_t(size));
     }
-    if (each.end != ending::none && each.repeated.empty())
-      close(each, each.end);
+    return each.repeated.empty();
   }
 
   static auto close(connection& each, ending how) -> void {
@@ -126,6 +145,7 @@
     each.socket = -1;
   }
 
+  std::shared_ptr<raw_script> script_;
   int listener_;
   std::vector<connection> connections_;
   timer timer_;
--- a/test/raw_entry_fixture.hpp
+++ b/test/raw_entry_fixture.hpp
@@ -12,6 +12,7 @@
 namespace pollenloft::test::raw {
 
 inline const socket_address endpoint_address{"127.0.9.50", 18501};
+inline const socket_address other_endpoint_address{"127.0.9.53", 18501};
 inline constexpr auto call_timeout = std::chrono::seconds(4);
 using json = nlohmann::json;
 
@@ -36,7 +37,9 @@
       .dump();
 }
 
-inline auto lease() -> wire::renew_reply {
+/// Endpoints `e1` and `e2` at these addresses.
+inline auto lease(const socket_address& first, const socket_address& second)
+    -> wire::renew_reply {
   wire::renew_reply reply;
   reply.granted = true;
   reply.leader = control_address.text();
@@ -50,11 +53,11 @@
       R"({"version":1,"accounts":{"a":{"token":"t","weight":1}},"services":)"
       R"({"app":{"deadline_ms":4000,"idempotent":false,"kind":"plain"}}})";
   reply.directory_sequence = 1;
-  for (const auto* id : {"e1", "e2"}) {
+  for (const auto& address : {first, second}) {
     wire::endpoint_record endpoint;
-    endpoint.id = id;
+    endpoint.id = reply.endpoints.empty() ? "e1" : "e2";
     endpoint.incarnation = "1";
-    endpoint.address = endpoint_address.text();
+    endpoint.address = address.text();
     endpoint.zone = "z";
     endpoint.pipeline = "app";
     endpoint.last_layer = 1;
@@ -76,8 +79,9 @@
     endpoint_ = std::make_unique<raw_endpoint>(*loop_, endpoint_address);
     leader_ = std::make_unique<http_server>(
         *loop_, http_limits{}, [this](const exchange_ptr& call) {
-          run_later(*loop_, milliseconds(10),
-                    [call] { call->reply(200, {}, encode_wire(lease())); });
+          run_later(*loop_, milliseconds(10), [this, call] {
+            call->reply(200, {}, encode_wire(lease(endpoint_address, other_)));
+          });
         });
     CPPUNIT_ASSERT(leader_->listen(control_address));
     start_vm();
@@ -103,6 +107,7 @@
     front_options front;
     front.listen = front_address;
     front.readiness = readiness_address;
+    front.retry_slack = retry_slack_;
     front_ = std::make_unique<front_server>(
         *loop_, front, entry_->client(), entry_->control(), entry_->crashes(),
         entry_->request_chart(), entry_->metrics_registry());
@@ -151,6 +156,36 @@
   std::unique_ptr<front_server> front_;
   std::optional<call_result> result_;
   std::string body_;
+  socket_address other_ = endpoint_address;  // of `e2`
+  double retry_slack_ = front_options{}.retry_slack;
+};
+
+/// The endpoints have an address each and answer in turn.
+class two_endpoint_fixture : public entry_fixture {
+ public:
+  auto setUp() -> void override {
+    other_ = other_endpoint_address;
+    entry_fixture::setUp();
+    start_endpoints();
+  }
+  auto tearDown() -> void override {
+    other_endpoint_.reset();
+    entry_fixture::tearDown();
+  }
+
+ protected:
+  /// Starts both endpoints anew.
+  auto start_endpoints() -> void {
+    const auto script = std::make_shared<raw_script>();
+    endpoint_.reset();
+    other_endpoint_.reset();
+    endpoint_ =
+        std::make_unique<raw_endpoint>(*loop_, endpoint_address, script);
+    other_endpoint_ =
+        std::make_unique<raw_endpoint>(*loop_, other_endpoint_address, script);
+  }
+
+  std::unique_ptr<raw_endpoint> other_endpoint_;
 };
 
 }  // namespace pollenloft::test::raw
