Reset a response that its connection ends unless it is whole

What callers saw: a caller that speaks HTTP/1.0 gets a stream without chunks, which ends with its connection. With keep-alive it got Content-Length: 0 and no body; aborted, or cut by the end of the VM's process, it looked whole.

Cause: the server left such a response to evhttp, which announces the length of an empty buffer, and closed its connection the same way whether it was whole or not. The class: a close that means an end.

Change: the server can start a response that its connection ends. Until all of it is written, the socket lingers for no time, so that the kernel resets it even if this process is killed; evhttp would shut it down first, so an unfinished one is reset before.

--- a/include/pollenloft/net.hpp
+++ b/include/pollenloft/net.hpp
@@ -151,12 +151,15 @@
   auto operator=(const exchange&) -> exchange& = delete;
 
   auto request() const -> const http_request&;
-  /// Sends a complete response.
-  auto reply(int status, const http_headers& headers, std::string_view body)
-      -> void;
-  /// Starts a chunked response.
-  auto start(int status, const http_headers& headers) -> void;
-  /// Sends one chunk. Returns the bytes that are buffered because the caller
+  /// Sends a complete response. `mark` is `length` or `connection`.
+  auto reply(int status, const http_headers& headers, std::string_view body,
+             body_end mark = body_end::length) -> void;
+  /// Starts a response in parts. `mark` is `last_chunk` or `connection`; a
+  /// caller that knows no chunks gets `connection`. A connection that marks the
+  /// end is reset unless `end` has been called and all bytes are written.
+  auto start(int status, const http_headers& headers,
+             body_end mark = body_end::last_chunk) -> void;
+  /// Sends one part. Returns the bytes that are buffered because the caller
   /// has not read them yet.
   auto chunk(std::string_view data) -> std::size_t;
   /// Ends a response begun by `start`.
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -3,6 +3,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/http_struct.h>
 #include <fcntl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -33,6 +34,7 @@
   exchange::impl* current = nullptr;  // null once its response is complete
   bool sending = false;  // a complete response is not yet written to the socket
   duration idle_timeout{};
+  bool ends_response = false;  // the close of this connection does
 
   auto stream() const -> bufferevent* {
     return evhttp_connection_get_bufferevent(handle);
@@ -40,6 +42,23 @@
   auto unsent_bytes() const -> std::size_t {
     return evbuffer_get_length(bufferevent_get_output(stream()));
   }
+  /// From now on, the kernel resets the connection when it is closed, also by
+  /// the end of this process: a close would end the response as whole.
+  auto reset_on_close() -> void {
+    ends_response = true;
+    set_linger({1, 0});
+  }
+  auto set_linger(linger value) const -> void {
+    setsockopt(bufferevent_getfd(stream()), SOL_SOCKET, SO_LINGER, &value,
+               sizeof value);
+  }
+  /// Resets the connection if the response that it ends isn't written, before
+  /// evhttp shuts it down.
+  auto reset_unfinished() const -> void {
+    if (!ends_response || (current == nullptr && !sending)) return;
+    const sockaddr none{AF_UNSPEC, {}};
+    ::connect(bufferevent_getfd(stream()), &none, sizeof none);
+  }
   /// Watches a complete response until the socket has accepted its last byte.
   /// Only a caller that takes no data ends it early.
   auto watch_response(evhttp_request* request) -> void {
@@ -57,6 +76,7 @@
   static auto on_sent(evhttp_request* /*request*/, void* arg) -> void {
     auto* self = static_cast<caller_connection*>(arg);
     self->sending = false;
+    if (self->ends_response) self->set_linger({0, 0});
     const auto timeout = to_timeval(self->idle_timeout);
     bufferevent_set_timeouts(self->stream(), &timeout, &timeout);
   }
@@ -146,6 +166,23 @@
     closed.emit();
   }
 
+  auto knows_chunks() const -> bool {
+    return handle->major > 1 || (handle->major == 1 && handle->minor >= 1);
+  }
+
+  /// Sends the head of a response that ends with its connection. evhttp
+  /// announces no length of its own only for a request without a response body.
+  auto start_until_close(int status) -> void {
+    auto* fields = evhttp_request_get_input_headers(handle);
+    while (evhttp_remove_header(fields, "Connection") == 0) {
+    }
+    evhttp_add_header(fields, "Connection", "close");
+    const auto method = std::exchange(handle->type, EVHTTP_REQ_HEAD);
+    evhttp_send_reply_start(handle, status, nullptr);
+    handle->type = method;
+    connection->reset_on_close();
+  }
+
   /// Ends the exchange; what is left is to write the response.
   auto release() -> void {
     connection->current = nullptr;
@@ -179,8 +216,13 @@
 }
 
 auto exchange::reply(int status, const http_headers& headers,
-                     std::string_view body) -> void {
+                     std::string_view body, body_end mark) -> void {
   if (impl_->handle == nullptr || impl_->started) return;
+  if (mark == body_end::connection) {
+    start(status, headers, mark);
+    chunk(body);
+    return end();
+  }
   auto* handle = impl_->handle;
   impl_->release();
   detail::write_headers(evhttp_request_get_output_headers(handle), headers);
@@ -191,11 +233,14 @@
   impl_->connection->stop_reading();
 }
 
-auto exchange::start(int status, const http_headers& headers) -> void {
+auto exchange::start(int status, const http_headers& headers, body_end mark)
+    -> void {
   if (impl_->handle == nullptr || impl_->started) return;
   impl_->started = true;
   detail::write_headers(evhttp_request_get_output_headers(impl_->handle),
                         headers);
+  if (mark == body_end::connection || !impl_->knows_chunks())
+    return impl_->start_until_close(status);
   evhttp_send_reply_start(impl_->handle, status, nullptr);
 }
 
@@ -291,6 +336,7 @@
     const auto closed = self->connections.extract(connection);
     if (closed.empty()) return;
     const auto& record = *closed.mapped();
+    record.reset_unfinished();
     if (record.current != nullptr) return record.current->handle_close();
     if (!record.sending) self->linger(record);
   }
