Pass the end of an answer on no stronger than it came

What callers saw: a stream without length and chunks whose endpoint ends in the middle reaches them with the last chunk, a plain answer with a Content-Length: framed as whole, one attempt, no line of a failure.

Cause: an answer without length ends with its connection, which the end of a process closes as well. The VM took that for the end and stated it again in a form that proves it. The class: a router states more than it was told.

A stream that has begun in chunks isn't ended by such an answer, but resumed or aborted.

entry_framing_test, cut_stream_is_not_resumed, took a rest without length for the proved end of a stream in chunks.

--- a/include/pollenloft/net.hpp
+++ b/include/pollenloft/net.hpp
@@ -137,6 +137,10 @@
   connection
 };
 auto body_end_name(body_end end) -> const char*;
+/// What marks the end of a response with these headers to a request with this
+/// method.
+auto find_body_end(const std::string& method, int status,
+                   const http_headers& headers) -> body_end;
 
 /// A request received by `http_server` and its response. Every exchange is
 /// answered: one destroyed before a reply gets status 500, one destroyed during
@@ -151,12 +155,12 @@
   auto operator=(const exchange&) -> exchange& = delete;
 
   auto request() const -> const http_request&;
-  /// Sends a complete response. `mark` is `length` or `connection`.
+  /// Sends a complete response, with its length unless `mark` is `connection`.
   auto reply(int status, const http_headers& headers, std::string_view body,
              body_end mark = body_end::length) -> void;
-  /// Starts a response in parts. `mark` is `last_chunk` or `connection`; a
-  /// caller that knows no chunks gets `connection`. A connection that marks the
-  /// end is reset unless `end` has been called and all bytes are written.
+  /// Starts a response in chunks unless `mark` is `connection` or the caller
+  /// knows none. A connection that marks the end is reset unless `end` has been
+  /// called and all bytes are written.
   auto start(int status, const http_headers& headers,
              body_end mark = body_end::last_chunk) -> void;
   /// Sends one part. Returns the bytes that are buffered because the caller
--- a/src/caller_request.hpp
+++ b/src/caller_request.hpp
@@ -117,6 +117,7 @@
   auto log_request_ended(outcome result) const -> void;
   auto reply_failure(outcome result) -> void;
   auto reply_completed() -> void;
+  auto reply_plain() -> void;
 
   request_host& host_;
   exchange_ptr exchange_;
@@ -143,6 +144,7 @@
   std::string failure_reason_ = "no endpoint could take the request";
   milliseconds retry_after_{1000};
   int plain_status_ = 200;
+  body_end plain_end_ = body_end::length;
   std::optional<int> failure_status_;  // replaces the default 503 or 502
   bool stall_detected_ = false;        // while a stalled attempt is cancelled
   std::string plain_content_type_;
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -373,7 +373,7 @@
 auto front_request::reply_buffered(const buffered_response& response) -> void {
   auto headers = response.headers;
   if (host_.draining()) headers.add("Connection", "close");
-  exchange_->reply(response.status, headers, response.body);
+  exchange_->reply(response.status, headers, response.body, response.end);
 }
 
 auto front_request::reply_local(int status) -> void {
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -93,6 +93,7 @@
     int status = 0;
     http_headers headers;
     std::string body;
+    body_end end = body_end::length;
   };
 
   auto execute(request_action action) -> void;
@@ -190,6 +191,7 @@
   std::string partial_event_;  // bytes of an incomplete event
   std::optional<std::int64_t> last_event_id_;
   std::size_t events_forwarded_ = 0;
+  body_end caller_end_ = body_end::length;  // of the stream that has begun
   instant data_at_{};                    // of the last part of a stream
   bool parts_survived_ = false;          // in this attempt
   bool prompt_survived_ = false;         // in any attempt
--- a/src/front_response.cpp
+++ b/src/front_response.cpp
@@ -17,6 +17,7 @@
                                    const http_headers& headers) -> void {
   if (attempt != lifecycle_.attempt() || !dispatch_active_) return;
   response_.status = status;
+  response_.end = find_body_end(exchange_->request().method, status, headers);
   response_.headers =
       without_relay_headers(platform::encode_response_headers(headers));
   response_head_ = platform::decode_response_head(status, headers);
@@ -92,7 +93,8 @@
                                      boottime_clock::now() - params_.arrived);
     auto headers = response_.headers;
     if (host_.draining()) headers.add("Connection", "close");
-    exchange_->start(response_.status, headers);
+    exchange_->start(response_.status, headers, response_.end);
+    caller_end_ = response_.end;
   }
   arm_stall_timer();
   if (exchange_->chunk(events) <= max_unread_bytes) return;
@@ -145,6 +147,11 @@
   if (is_stream() && response_.status == 200 && !partial_event_.empty())
     return fail_attempt({"answer.event", stages_.front().endpoint->id,
                          "the last event is not whole"});
+  // The caller would take the end of its stream for proved.
+  if (started && response_.end == body_end::connection &&
+      caller_end_ != body_end::connection)
+    return fail_attempt({"answer.end", stages_.front().endpoint->id,
+                         "only the connection ended it"});
   // An endpoint that answers with an error may not have run the request.
   if (!failed && !peer_) {
     host_.crashes().record_survival(params_.fingerprint);
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -35,20 +35,18 @@
   });
 }
 
-auto find_body_end(evhttp_request* response, const http_headers& headers)
-    -> body_end {
-  const auto status = evhttp_request_get_response_code(response);
+}  // namespace
+
+auto find_body_end(const std::string& method, int status,
+                   const http_headers& headers) -> body_end {
   const auto has_body = status != HTTP_NOCONTENT &&
-                        status != HTTP_NOTMODIFIED &&
-                        evhttp_request_get_command(response) != EVHTTP_REQ_HEAD;
+                        status != HTTP_NOTMODIFIED && method != "HEAD";
   if (has_body && headers.find("Transfer-Encoding"))
     return body_end::last_chunk;
   return has_body && !headers.find("Content-Length") ? body_end::connection
                                                      : body_end::length;
 }
 
-}  // namespace
-
 struct pending_call::impl {
   event_loop& loop;
   evhttp_connection* connection = nullptr;
@@ -187,7 +185,8 @@
       rejection = "invalid response";
       return false;
     }
-    end = find_body_end(handle, headers);
+    end = find_body_end(detail::method_name(evhttp_request_get_command(handle)),
+                        status, headers);
     // With any other Connection field, evhttp expects no body.
     if (end == body_end::connection) {
       while (evhttp_remove_header(fields, "Connection") == 0) {
--- a/test/entry_framing_test.cpp
+++ b/test/entry_framing_test.cpp
@@ -119,15 +119,18 @@
 
   auto cut_stream_is_not_resumed() -> void {
     const auto cut = event(1) + "id: 2\nda";
-    for (const auto& first : std::vector<raw_response>{
-             {head + "\r\n" + cut},
-             {head + "\r\n" + event(1), ending::reset},
-             {chunked_head + chunk(event(1)) + "9\r\nid: 2"},
-             {chunked_head + chunk(cut) + "0\r\n\r\n"}}) {
-      CPPUNIT_ASSERT_EQUAL(
-          200,
-          call("/resumable/", {first, {head + "\r\n" + event(2) + event(3)}}));
-      CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), body_);
+    const auto rest = event(2) + event(3);
+    const raw_response unframed_rest{head + "\r\n" + rest};
+    const raw_response chunked_rest{chunked_head + chunk(rest) + "0\r\n\r\n"};
+    for (const auto& [first, second] :
+         std::vector<std::pair<raw_response, raw_response>>{
+             {{head + "\r\n" + cut}, unframed_rest},
+             {{head + "\r\n" + event(1), ending::reset}, unframed_rest},
+             {{head + "\r\n" + cut}, chunked_rest},
+             {{chunked_head + chunk(event(1)) + "9\r\nid: 2"}, chunked_rest},
+             {{chunked_head + chunk(cut) + "0\r\n\r\n"}, chunked_rest}}) {
+      CPPUNIT_ASSERT_EQUAL(200, call("/resumable/", {first, second}));
+      CPPUNIT_ASSERT_EQUAL(event(1) + rest, body_);
       CPPUNIT_ASSERT_EQUAL(std::size_t{2}, endpoint_->received.size());
       CPPUNIT_ASSERT(endpoint_->received[1].find("Last-Event-Id: 1\r\n") !=
                      std::string::npos);
