Take an end that only the connection marks for whole only while its endpoints live

What callers saw: a runner that is killed in the middle of an answer without length ends it for the caller. The kernel closes its sockets with FIN, as a runner does after the last event.

Cause: nothing else was asked. Class: the end of a process taken for the end of its work.

Evidence: killed_endpoint_test, 3 of 3 failed before. For chains: front_crash_test lost_stage_ends_the_stream_as_whole fails without the check (run with it switched off), stream_of_a_whole_chain_is_cut passes either way.

Change: before such an end counts, the VM asks the listeners of all stages, as it does after an interruption. If one refuses, the attempt has failed: a resumable stream goes on elsewhere after its last event, any other is reset, a plain answer is a 502. The own interface asks its endpoint in the same way.

What a VM can't know: a process that has started again within the 5 ms listens already, and a head that lives may end a stream for another reason.

--- a/src/caller_plain.cpp
+++ b/src/caller_plain.cpp
@@ -56,8 +56,9 @@
                           if (plain_status_ == 0) return handle_refusal(body);
                           response_text_ = body;
                           plain_end_ = completed.end;
-                          release_slots(dispatch_result::served, "");
-                          step(request_event::completed);
+                          if (plain_end_ == body_end::connection)
+                            return check_plain_end();
+                          complete_plain();
                         },
                         [this](const call_unsent& unsent) {
                           handle_call_failure(unsent);
@@ -68,6 +69,22 @@
              result);
 }
 
+auto caller_request::complete_plain() -> void {
+  release_slots(dispatch_result::served, "");
+  step(request_event::completed);
+}
+
+/// The end of a process closes its connections, too.
+auto caller_request::check_plain_end() -> void {
+  detect_crash([this](bool crashed) {
+    const auto endpoint = stages_.front().endpoint->id;
+    if (!crashed) return complete_plain();
+    response_text_.clear();
+    fail_attempt(endpoint, true,
+                 {"answer.end", endpoint, "the process has ended"});
+  });
+}
+
 auto caller_request::reply_plain() -> void {
   auto headers = reply_headers(outcome::completed);
   const auto type =
--- a/src/caller_response.cpp
+++ b/src/caller_response.cpp
@@ -101,15 +101,20 @@
 /// The call may have reached the endpoint and run.
 auto caller_request::handle_call_failure(const call_interrupted& interrupted)
     -> void {
-  const auto endpoint = stages_.front().endpoint;
-  const auto attempt = lifecycle_.attempt();
+  detect_crash([this, cause = interrupted.cause](bool crashed) {
+    fail_attempt(stages_.front().endpoint->id, crashed, cause);
+  });
+}
+
+auto caller_request::detect_crash(sigc::slot<void(bool)> next) -> void {
   host_.crashes().detect_crash(
-      endpoint->address, [weak_self = weak_from_this(), attempt, endpoint,
-                          cause = interrupted.cause](bool crashed) {
+      stages_.front().endpoint->address,
+      [weak_self = weak_from_this(), attempt = lifecycle_.attempt(),
+       next = std::move(next)](bool crashed) {
         auto self = weak_self.lock();
         if (self && attempt == self->lifecycle_.attempt() &&
             self->dispatch_active_)
-          self->fail_attempt(endpoint->id, crashed, cause);
+          next(crashed);
       });
 }
 
--- a/src/crash_monitor.cpp
+++ b/src/crash_monitor.cpp
@@ -40,15 +40,18 @@
 }
 
 auto crash_monitor::attribute(const interrupted_request& request,
-                              const chain& stages, const task& done) -> void {
+                              const chain& stages, const result_handler& done)
+    -> void {
   const auto remaining = std::make_shared<std::size_t>(stages.size());
+  const auto any_crashed = std::make_shared<bool>(false);
   for (const auto& stage : stages) {
     const auto endpoint = stage.endpoint;
-    detect_crash(endpoint->address,
-                 [this, request, endpoint, remaining, done](bool crashed) {
-                   if (crashed) charge(request, *endpoint);
-                   if (--*remaining == 0) done();
-                 });
+    detect_crash(endpoint->address, [this, request, endpoint, remaining,
+                                     any_crashed, done](bool crashed) {
+      if (crashed) charge(request, *endpoint);
+      *any_crashed |= crashed;
+      if (--*remaining == 0) done(*any_crashed);
+    });
   }
 }
 
--- a/src/crash_monitor.hpp
+++ b/src/crash_monitor.hpp
@@ -52,9 +52,9 @@
   auto detect_crash(const socket_address& endpoint, result_handler done)
       -> void;
   /// Checks the endpoints of an interrupted dispatch, records a crash against
-  /// the request and calls `done`.
+  /// the request and tells `done` whether any has crashed.
   auto attribute(const interrupted_request& request, const chain& stages,
-                 const task& done) -> void;
+                 const result_handler& done) -> void;
   /// Records a crash that is known already.
   auto record_crash(const interrupted_request& request,
                     const endpoint_view& endpoint) -> void;
--- a/src/front_repair.cpp
+++ b/src/front_repair.cpp
@@ -47,7 +47,7 @@
   chain failed;
   std::copy_if(stages_.begin(), stages_.end(), std::back_inserter(failed),
                [&](const auto& stage) { return stage.endpoint->id == id; });
-  attribute_crash(failed, [this, id] {
+  attribute_crash(failed, [this, id](bool /*crashed*/) {
     repair_or_abandon(id, boottime_clock::now() + repair_timeout);
   });
 }
@@ -145,9 +145,10 @@
 /// A dispatch stalls when any of its stages has crashed.
 auto front_request::handle_stall() -> void {
   host_.reach().contact_failed(stages_.front().endpoint->id);
-  attribute_crash(stages_, [this, events = events_forwarded_] {
-    if (events == events_forwarded_) abandon_stalled_dispatch();
-  });
+  attribute_crash(stages_,
+                  [this, events = events_forwarded_](bool /*crashed*/) {
+                    if (events == events_forwarded_) abandon_stalled_dispatch();
+                  });
 }
 
 auto front_request::abandon_stalled_dispatch() -> void {
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -272,10 +272,13 @@
   const auto stages = stages_;
   host_.reach().contact_failed(stages.front().endpoint->id);
   end_failed_dispatch(cause);
-  attribute_crash(stages, [this] { continue_after(request_event::broken); });
+  attribute_crash(stages, [this](bool /*crashed*/) {
+    continue_after(request_event::broken);
+  });
 }
 
-auto front_request::attribute_crash(const chain& stages, task next) -> void {
+auto front_request::attribute_crash(const chain& stages,
+                                    sigc::slot<void(bool)> next) -> void {
   const auto points = events_forwarded_ > attempt_first_event_
                           ? inferred_points_after_first_event
                           : inferred_points_before_first_event;
@@ -287,7 +290,7 @@
        parts_survived_ ? std::vector<std::uint64_t>{} : params_.parts},
       stages,
       [self = weak_from_this(), attempt, dispatch_active,
-       next = std::move(next)]() {
+       next = std::move(next)](bool crashed) {
         auto request = self.lock();
         if (!request || request->ended() ||
             request->lifecycle_.attempt() != attempt ||
@@ -296,7 +299,7 @@
         // Slots are released as they were taken.
         if (!dispatch_active)
           request->poison_suspect_ |= *request->exposure_.charged;
-        next();
+        next(crashed);
       });
 }
 
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -116,6 +116,9 @@
   auto handle_done(std::size_t attempt, const call_result& result,
                    std::string_view body) -> void;
   auto record_answer_end(const call_completed& completed) -> void;
+  auto needs_check(body_end end) const -> bool;
+  /// Handles an answer whose end only its connection marks.
+  auto check_end(const std::string& body) -> void;
   auto handle_response(std::string_view body) -> void;
   auto handle_refusal() -> void;
   auto handle_relay_refusal(const std::string& where) -> void;
@@ -124,9 +127,10 @@
   auto fail_attempt(const error& cause) -> void;
   /// Ends the dispatch as failed, without deciding how the request continues.
   auto end_failed_dispatch(const error& cause) -> void;
-  /// Records a crash of any of the `stages` against this request, then calls
-  /// `next` unless the request has ended or gone on by then.
-  auto attribute_crash(const chain& stages, task next) -> void;
+  /// Records a crash of any of the `stages` against this request, then tells
+  /// `next` of it unless the request has ended or gone on by then.
+  auto attribute_crash(const chain& stages, sigc::slot<void(bool)> next)
+      -> void;
   /// Whether crashes recorded since its admission forbid to run the request.
   auto stopped_by_crashes() const -> bool;
   auto features() const -> crash_features {
@@ -192,10 +196,10 @@
   std::optional<std::int64_t> last_event_id_;
   std::size_t events_forwarded_ = 0;
   body_end caller_end_ = body_end::length;  // of the stream that has begun
-  instant data_at_{};                    // of the last part of a stream
-  bool parts_survived_ = false;          // in this attempt
-  bool prompt_survived_ = false;         // in any attempt
-  std::size_t attempt_first_event_ = 0;  // `events_forwarded_` at its start
+  instant data_at_{};                       // of the last part of a stream
+  bool parts_survived_ = false;             // in this attempt
+  bool prompt_survived_ = false;            // in any attempt
+  std::size_t attempt_first_event_ = 0;     // `events_forwarded_` at its start
   std::string end_reason_;
   std::optional<int> refusal_status_;
   milliseconds retry_after_{1000};
--- a/src/front_response.cpp
+++ b/src/front_response.cpp
@@ -109,6 +109,8 @@
   if (attempt != lifecycle_.attempt() || !dispatch_active_) return;
   std::visit(overloaded{[&](const call_completed& completed) {
                           record_answer_end(completed);
+                          if (needs_check(completed.end))
+                            return check_end(std::string(body));
                           handle_response(body);
                         },
                         [this](const call_unsent& unsent) {
@@ -129,6 +131,23 @@
                            std::chrono::duration_cast<milliseconds>(silence)});
 }
 
+auto front_request::needs_check(body_end end) const -> bool {
+  return end == body_end::connection && !peer_ && !response_head_.not_run &&
+         !answers_other_request();
+}
+
+/// The end of a process closes its connections, too, and a runner ends its
+/// answer when it loses a later stage.
+auto front_request::check_end(const std::string& body) -> void {
+  attribute_crash(stages_, [this, body](bool crashed) {
+    if (!crashed) return handle_response(body);
+    end_failed_dispatch({"answer.end", stages_.front().endpoint->id,
+                         "a process that ran the request has ended"});
+    poison_suspect_ |= *exposure_.charged;
+    continue_after(request_event::broken);
+  });
+}
+
 auto front_request::handle_response(std::string_view body) -> void {
   if (answers_other_request())
     return fail_attempt({"answer.head", stages_.front().endpoint->id,
--- a/test/front_crash_test.cpp
+++ b/test/front_crash_test.cpp
@@ -15,6 +15,8 @@
   CPPUNIT_TEST(endpoint_that_had_crashed_before_counts);
   CPPUNIT_TEST(retry_overtakes_the_record_of_a_crash);
   CPPUNIT_TEST(error_response_drops_the_record_of_a_crash);
+  CPPUNIT_TEST(lost_stage_ends_the_stream_as_whole);
+  CPPUNIT_TEST(stream_of_a_whole_chain_is_cut);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -24,6 +26,34 @@
     loop_.post([this] { endpoint_->close_listener(); });
   }
 
+  /// Sends a stream that only its connection ends.
+  auto send_unproved_stream() -> void {
+    route_.resumable = false;
+    endpoint_handler_ = [](const auto& call, auto) {
+      call->start(200, endpoint_headers(), body_end::connection);
+      call->chunk(event(1));
+      call->end();
+    };
+    CPPUNIT_ASSERT_EQUAL(200, send_request());
+    CPPUNIT_ASSERT_EQUAL(event(1), body_);
+  }
+
+  auto lost_stage_ends_the_stream_as_whole() -> void {
+    make_chain_with_crashed_stage();
+    send_unproved_stream();
+    CPPUNIT_ASSERT(!completed());
+  }
+
+  auto stream_of_a_whole_chain_is_cut() -> void {
+    make_stream(false);
+    engine_.layers = 2;
+    use_engine_ = true;
+    host_->routes().upsert(
+        {"e2", "1", endpoint_address, "", "z", "app", 1, 2, 8});
+    send_unproved_stream();
+    CPPUNIT_ASSERT(completed());
+  }
+
   auto lost_connection_is_recorded_as_a_crash() -> void {
     endpoint_handler_ = [](const auto& call, auto) { call->abort(); };
     CPPUNIT_ASSERT_EQUAL(502, send_request());
