Resume a stream only with events that belong to it

What callers saw: a stream broke off, the endpoint that resumed it answered 200 with a text, and the text stood in the middle of their stream; a whole head in a body did as well. A stream whose events have no ids was joined to a second run.

Class: an answer is taken for the rest of another by its status alone.

Change: event_sequence decides on each event, without network. In an answer that goes on, an event without an id fails the attempt, comments aside; so does another media type, and an end before the last event that the caller has. After an event without an id nothing can go on, so the stream isn't run again. Lines may end with CRLF, as the format of server-sent events has it.

--- a/include/pollenloft/lifecycle.hpp
+++ b/include/pollenloft/lifecycle.hpp
@@ -97,6 +97,9 @@
   auto step(request_event event) -> std::vector<request_action>;
   /// Records that an endpoint crashed while it ran this request.
   auto add_crash_points(int points) -> void { crash_points_ += points; }
+  /// No further dispatch may run the request, as none could go on after what
+  /// its caller has got.
+  auto forbid_rerun() -> void { traits_.idempotent = false; }
   auto ended() const -> bool { return chart_.is_final(state_); }
   auto state() const -> const std::string& { return state_; }
   /// Number of dispatches so far. Callers compare it to ignore events of
--- a/src/front_repair.cpp
+++ b/src/front_repair.cpp
@@ -60,7 +60,7 @@
   const auto& head = *stages_.front().endpoint;
   const auto returns =
       host_.notices().endpoints().returns_at(head.id, head.incarnation);
-  return params_.engine != nullptr && events_forwarded_ > 0 &&
+  return params_.engine != nullptr && events_.size() > 0 &&
          head.id != failed_endpoint && (!returns || *returns < until) &&
          boottime_clock::now() < until;
 }
@@ -103,7 +103,7 @@
             {{"id", params_.headers.request_id},
              {"lost", failed_endpoint},
              {"stages", stages_.size()},
-             {"events", events_forwarded_}});
+             {"events", events_.size()}});
   host_.metrics_registry().add("pollenloft_chains_mended_total");
   arm_stall_timer();
   send_chain_update(now);
@@ -145,10 +145,9 @@
 /// A dispatch stalls when any of its stages has crashed.
 auto front_request::handle_stall() -> void {
   host_.reach().contact_failed(stages_.front().endpoint->id);
-  attribute_crash(stages_,
-                  [this, events = events_forwarded_](bool /*crashed*/) {
-                    if (events == events_forwarded_) abandon_stalled_dispatch();
-                  });
+  attribute_crash(stages_, [this, events = events_.size()](bool /*crashed*/) {
+    if (events == events_.size()) abandon_stalled_dispatch();
+  });
 }
 
 auto front_request::abandon_stalled_dispatch() -> void {
@@ -164,7 +163,7 @@
              {"fingerprint", fingerprint_text(params_.fingerprint)},
              {"attempt", lifecycle_.attempt()},
              {"endpoint", stages.front().endpoint->id},
-             {"events", events_forwarded_}});
+             {"events", events_.size()}});
 }
 
 }  // namespace pollenloft
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -30,7 +30,7 @@
                                 std::min(params_.route->max_attempts,
                                          params_.max_attempts)},
                  budget),
-      last_event_id_(params_.headers.last_event_id) {}
+      events_(params_.headers.last_event_id) {}
 
 auto front_request::start() -> void {
   auto self = weak_from_this();
@@ -123,7 +123,7 @@
   headers.deadline = to_ms(time_left());
   headers.endpoint_id = stages_.front().endpoint->id;
   headers.account = params_.account;
-  headers.last_event_id = last_event_id_;
+  headers.last_event_id = events_.last_id();
   headers.priority = std::clamp(params_.priority, 0, max_priority);
   if (params_.engine != nullptr) headers.stages = &stages_;
   auto call = make_call();
@@ -136,7 +136,7 @@
   auto call = make_call();
   call.headers = platform::encode_relay(
       without_relay_headers(exchange_->request().headers), to_ms(time_left()),
-      last_event_id_);
+      events_.last_id());
   call.headers.add(relay_key_header, peer_->key);
   call.headers.add(relay_attempts_header,
                    std::to_string(lifecycle_.attempts_left()));
@@ -168,7 +168,7 @@
   response_head_ = {};
   relay_refusal_.reset();
   partial_event_.clear();
-  attempt_first_event_ = events_forwarded_;
+  events_.begin_answer(exchange_->started());
   parts_survived_ = false;
   dispatched_at_ = boottime_clock::now();
   exposure_ = {dispatched_at_};
@@ -209,7 +209,7 @@
     log_event(log_level::debug, "retry.waits",
               {{"id", params_.headers.request_id},
                {"attempt", lifecycle_.attempt()},
-               {"events", events_forwarded_}});
+               {"events", events_.size()}});
     budget_timer_ = host_.loop().after(budget_poll_interval,
                                        [self = weak_from_this(), event] {
                                          if (auto request = self.lock())
@@ -279,7 +279,7 @@
 
 auto front_request::attribute_crash(const chain& stages,
                                     sigc::slot<void(bool)> next) -> void {
-  const auto points = events_forwarded_ > attempt_first_event_
+  const auto points = events_.answer_size() > 0
                           ? inferred_points_after_first_event
                           : inferred_points_before_first_event;
   const auto attempt = lifecycle_.attempt();
@@ -337,7 +337,7 @@
              {"prompt_parts", fingerprints_text(params_.parts)},
              {"attempt", lifecycle_.attempt()},
              {"endpoint", endpoint},
-             {"events", events_forwarded_},
+             {"events", events_.size()},
              {"step", cause.step},
              {"reason", cause.reason}});
   host_.metrics_registry().add("pollenloft_attempts_failed_total");
@@ -435,7 +435,7 @@
        {"status", status},
        {"attempts", lifecycle_.attempt()},
        {"relayed", params_.relayed ? 1 : 0},
-       {"events", events_forwarded_},
+       {"events", events_.size()},
        {"took_ms", to_ms(boottime_clock::now() - params_.arrived).count()},
        {"reason", succeeded ? "" : end_reason_}});
 }
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "dispatch_host.hpp"
+#include "event_sequence.hpp"
 #include "platform/platform.hpp"
 #include "pollenloft/admission.hpp"
 #include "pollenloft/ingress.hpp"
@@ -113,6 +114,8 @@
   auto answers_other_request() const -> bool;
   auto forward_complete_events(std::size_t searched) -> void;
   auto forward(const std::string& events) -> void;
+  auto has_other_media_type() const -> bool;
+  auto find_end_fault() const -> const char*;
   auto handle_done(std::size_t attempt, const call_result& result,
                    std::string_view body) -> void;
   auto record_answer_end(const call_completed& completed) -> void;
@@ -193,13 +196,13 @@
   /// Another VM's refusal of the relayed request, sent as it is.
   std::optional<buffered_response> relayed_refusal_;
   std::string partial_event_;  // bytes of an incomplete event
-  std::optional<std::int64_t> last_event_id_;
-  std::size_t events_forwarded_ = 0;
-  body_end caller_end_ = body_end::length;  // of the stream that has begun
-  instant data_at_{};                       // of the last part of a stream
-  bool parts_survived_ = false;             // in this attempt
-  bool prompt_survived_ = false;            // in any attempt
-  std::size_t attempt_first_event_ = 0;     // `events_forwarded_` at its start
+  event_sequence events_;
+  // Of the stream that has begun.
+  body_end caller_end_ = body_end::length;
+  std::string caller_media_type_;
+  instant data_at_{};             // of the last part of a stream
+  bool parts_survived_ = false;   // in this attempt
+  bool prompt_survived_ = false;  // in any attempt
   std::string end_reason_;
   std::optional<int> refusal_status_;
   milliseconds retry_after_{1000};
--- a/src/front_response.cpp
+++ b/src/front_response.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-/// A stream is aborted when its caller leaves more bytes than this unread.
-constexpr std::size_t max_unread_bytes = 1024 * 1024;
 /// Refusals for want of capacity arrive sooner than this.
 constexpr auto slow_refusal_threshold = milliseconds(500);
 
@@ -40,70 +38,6 @@
          response_head_.request_id != params_.headers.request_id;
 }
 
-auto front_request::handle_data(std::size_t attempt, std::string_view bytes)
-    -> void {
-  if (attempt != lifecycle_.attempt() || !dispatch_active_) return;
-  if (answers_other_request())
-    return fail_attempt({"answer.head", stages_.front().endpoint->id,
-                         "the answer is for another request"});
-  data_at_ = boottime_clock::now();
-  const auto searched = partial_event_.size();
-  partial_event_ += bytes;
-  if (partial_event_.size() > max_event_bytes)
-    return fail_attempt(
-        {"answer.event", stages_.front().endpoint->id, "an event is too long"});
-  forward_complete_events(searched);
-}
-
-/// Forwards complete events. An interrupted event is generated again by the
-/// endpoint that resumes the stream. The first `searched` bytes contain no end
-/// of an event.
-auto front_request::forward_complete_events(std::size_t searched) -> void {
-  std::string complete_events;
-  auto gap = false;
-  std::size_t begin = 0;
-  const auto from = searched == 0 ? 0 : searched - 1;
-  for (auto end = partial_event_.find("\n\n", from);
-       !gap && end != std::string::npos;
-       end = partial_event_.find("\n\n", begin)) {
-    const auto event =
-        std::string_view(partial_event_).substr(begin, end + 2 - begin);
-    begin = end + 2;
-    const auto id = platform::parse_event_id(event);
-    if (id && last_event_id_ && *id <= *last_event_id_) continue;
-    gap = id && last_event_id_ && *id > *last_event_id_ + 1;
-    if (gap) break;
-    if (id) last_event_id_ = id;
-    ++events_forwarded_;
-    complete_events += event;
-  }
-  partial_event_.erase(0, begin);
-  if (events_forwarded_ >= attempt_first_event_ + survival_events)
-    record_part_survival();
-  if (!complete_events.empty()) forward(complete_events);
-  if (gap && dispatch_active_)
-    fail_attempt(
-        {"answer.event", stages_.front().endpoint->id, "an event is missing"});
-}
-
-auto front_request::forward(const std::string& events) -> void {
-  if (lifecycle_.state() == "dispatched") step(request_event::began);
-  if (!exchange_->started()) {
-    host_.metrics_registry().observe("pollenloft_first_event_seconds",
-                                     boottime_clock::now() - params_.arrived);
-    auto headers = response_.headers;
-    if (host_.draining()) headers.add("Connection", "close");
-    exchange_->start(response_.status, headers, response_.end);
-    caller_end_ = response_.end;
-  }
-  arm_stall_timer();
-  if (exchange_->chunk(events) <= max_unread_bytes) return;
-  log_event(log_level::warning, "caller.too_slow",
-            {{"id", params_.headers.request_id}});
-  exchange_->abort();
-  step(request_event::caller_gone);
-}
-
 auto front_request::handle_done(std::size_t attempt, const call_result& result,
                                 std::string_view body) -> void {
   if (attempt != lifecycle_.attempt() || !dispatch_active_) return;
@@ -127,7 +61,7 @@
   const auto silence = data_at_ < dispatched_at_ ? duration(0) : now - data_at_;
   host_.record_answer_end({params_.headers.request_id, lifecycle_.attempt(),
                            stages_.front().endpoint->id, stages_.size(),
-                           completed, events_forwarded_,
+                           completed, events_.size(),
                            std::chrono::duration_cast<milliseconds>(silence)});
 }
 
@@ -163,18 +97,12 @@
   if (started ? response_.status != 200 : repeatable)
     return fail_attempt({"answer.status", stages_.front().endpoint->id,
                          std::to_string(response_.status)});
-  if (is_stream() && response_.status == 200 && !partial_event_.empty())
-    return fail_attempt({"answer.event", stages_.front().endpoint->id,
-                         "the last event is not whole"});
-  // The caller would take the end of its stream for proved.
-  if (started && response_.end == body_end::connection &&
-      caller_end_ != body_end::connection)
-    return fail_attempt({"answer.end", stages_.front().endpoint->id,
-                         "only the connection ended it"});
+  if (const auto* fault = find_end_fault())
+    return fail_attempt({"answer.end", stages_.front().endpoint->id, fault});
   // An endpoint that answers with an error may not have run the request.
   if (!failed && !peer_) {
     host_.crashes().record_survival(params_.fingerprint);
-    const auto wrote = !is_stream() || events_forwarded_ > attempt_first_event_;
+    const auto wrote = !is_stream() || events_.answer_size() > 0;
     if (response_.status == 200 && wrote) record_part_survival();
   }
   release_slots(dispatch_result::served, "");
