End a stream by an empty answer only if that says so

What callers saw: a stream broke off, the endpoint that resumed it answered 200 with nothing, and the stream ended as whole.

Cause: the end of any answer to a resumption ended the stream. Played on a scratch copy: runners answer 200 with the media type of events and no event.

Change: an answer without events ends a stream only if it has that media type and its length or last chunk marks the end. Anything else fails the attempt. A faulty endpoint that sends just this can't be told from one that has nothing left.

--- a/src/front_stream.cpp
+++ b/src/front_stream.cpp
@@ -104,6 +104,10 @@
   if (has_other_media_type())
     return "the rest of the stream has another media type";
   const auto proved = response_.end != body_end::connection;
+  // An endpoint with nothing left sends an empty stream.
+  if (!events_.answer_has_events() &&
+      (!proved || media_type(response_.headers) != event_media_type))
+    return "the rest of the stream is empty";
   if (events_.answer_has_events() && !events_.answer_ends_stream())
     return "the rest of the stream ends before its beginning";
   // The caller would take the end of its stream for proved.
