Hold no place of an endpoint while its listener is asked

Suspected: an answer keeps its place at the endpoint for the 5 ms and more of the check.

The change stays for its own sake: the place is free as soon as the answer is there, as before. The check is the last step, after everything else that can fail the attempt, and asks the VM that a relayed answer came from as well.

--- a/src/caller_plain.cpp
+++ b/src/caller_plain.cpp
@@ -56,9 +56,10 @@
                           if (plain_status_ == 0) return handle_refusal(body);
                           response_text_ = body;
                           plain_end_ = completed.end;
+                          release_slots(dispatch_result::served, "");
                           if (plain_end_ == body_end::connection)
                             return check_plain_end();
-                          complete_plain();
+                          step(request_event::completed);
                         },
                         [this](const call_unsent& unsent) {
                           handle_call_failure(unsent);
@@ -69,16 +70,11 @@
              result);
 }
 
-auto caller_request::complete_plain() -> void {
-  release_slots(dispatch_result::served, "");
-  step(request_event::completed);
-}
-
 /// The end of a process closes its connections, too.
 auto caller_request::check_plain_end() -> void {
   detect_crash([this](bool crashed) {
+    if (!crashed) return step(request_event::completed);
     const auto endpoint = stages_.front().endpoint->id;
-    if (!crashed) return complete_plain();
     response_text_.clear();
     fail_attempt(endpoint, true,
                  {"answer.end", endpoint, "the process has ended"});
--- a/src/caller_request.hpp
+++ b/src/caller_request.hpp
@@ -118,7 +118,6 @@
   auto reply_failure(outcome result) -> void;
   auto reply_completed() -> void;
   auto reply_plain() -> void;
-  auto complete_plain() -> void;
   auto check_plain_end() -> void;
   /// Tells `next` whether the head has crashed, unless the dispatch has ended
   /// by then.
--- a/src/caller_response.cpp
+++ b/src/caller_response.cpp
@@ -110,10 +110,10 @@
   host_.crashes().detect_crash(
       stages_.front().endpoint->address,
       [weak_self = weak_from_this(), attempt = lifecycle_.attempt(),
-       next = std::move(next)](bool crashed) {
+       active = dispatch_active_, next = std::move(next)](bool crashed) {
         auto self = weak_self.lock();
-        if (self && attempt == self->lifecycle_.attempt() &&
-            self->dispatch_active_)
+        if (self && !self->ended() && attempt == self->lifecycle_.attempt() &&
+            active == self->dispatch_active_)
           next(crashed);
       });
 }
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -119,10 +119,10 @@
   auto handle_done(std::size_t attempt, const call_result& result,
                    std::string_view body) -> void;
   auto record_answer_end(const call_completed& completed) -> void;
-  auto needs_check(body_end end) const -> bool;
-  /// Handles an answer whose end only its connection marks.
-  auto check_end(const std::string& body) -> void;
   auto handle_response(std::string_view body) -> void;
+  /// Completes the request unless a process that ran it has ended.
+  auto check_end() -> void;
+  auto complete() -> void;
   auto handle_refusal() -> void;
   auto handle_relay_refusal(const std::string& where) -> void;
   auto handle_unsent(const error& cause) -> void;
--- a/src/front_response.cpp
+++ b/src/front_response.cpp
@@ -43,8 +43,6 @@
   if (attempt != lifecycle_.attempt() || !dispatch_active_) return;
   std::visit(overloaded{[&](const call_completed& completed) {
                           record_answer_end(completed);
-                          if (needs_check(completed.end))
-                            return check_end(std::string(body));
                           handle_response(body);
                         },
                         [this](const call_unsent& unsent) {
@@ -65,23 +63,6 @@
                            std::chrono::duration_cast<milliseconds>(silence)});
 }
 
-auto front_request::needs_check(body_end end) const -> bool {
-  return end == body_end::connection && !peer_ && !response_head_.not_run &&
-         !answers_other_request();
-}
-
-/// The end of a process closes its connections, too, and a runner ends its
-/// answer when it loses a later stage.
-auto front_request::check_end(const std::string& body) -> void {
-  attribute_crash(stages_, [this, body](bool crashed) {
-    if (!crashed) return handle_response(body);
-    end_failed_dispatch({"answer.end", stages_.front().endpoint->id,
-                         "a process that ran the request has ended"});
-    poison_suspect_ |= *exposure_.charged;
-    continue_after(request_event::broken);
-  });
-}
-
 auto front_request::handle_response(std::string_view body) -> void {
   if (answers_other_request())
     return fail_attempt({"answer.head", stages_.front().endpoint->id,
@@ -99,13 +80,40 @@
                          std::to_string(response_.status)});
   if (const auto* fault = find_end_fault())
     return fail_attempt({"answer.end", stages_.front().endpoint->id, fault});
+  release_slots(dispatch_result::served, "");
+  if (response_.end == body_end::connection) return check_end();
+  complete();
+}
+
+/// The end of a process closes its connections, too, and a runner ends its
+/// answer when it loses a later stage.
+auto front_request::check_end() -> void {
+  auto done = [this](bool crashed) {
+    if (!crashed) return complete();
+    fail_attempt({"answer.end", stages_.front().endpoint->id,
+                  "a process that ran the request has ended"});
+  };
+  if (!peer_) return attribute_crash(stages_, std::move(done));
+  host_.crashes().detect_crash(
+      peer_->view->address,
+      [self = weak_from_this(), attempt = lifecycle_.attempt(),
+       done = std::move(done)](bool crashed) {
+        auto request = self.lock();
+        if (!request || request->ended() ||
+            request->lifecycle_.attempt() != attempt)
+          return;
+        if (crashed) request->host_.relay().drop(request->peer_->view->id);
+        done(crashed);
+      });
+}
+
+auto front_request::complete() -> void {
   // An endpoint that answers with an error may not have run the request.
-  if (!failed && !peer_) {
+  if (response_.status < 500 && !peer_) {
     host_.crashes().record_survival(params_.fingerprint);
     const auto wrote = !is_stream() || events_.answer_size() > 0;
     if (response_.status == 200 && wrote) record_part_survival();
   }
-  release_slots(dispatch_result::served, "");
   step(request_event::completed);
 }
 
