Test refusals written twice and answers cut at each byte

Guarded, on the front and the own interface: a refusal that is written twice, late or after an answer has begun, a refusal that names an earlier request, an answer that ends after any of its bytes (with a length, in chunks, with neither; by FIN and by RST), an engine's error, text, silence or events without an end in place of the rest of a model stream. At the leader and for chain updates: an answer that ends in its head. No connection to an endpoint is kept.

The raw endpoint sends bytes on connect, after a pause, and made from the request.

--- a/test/raw_endpoint.hpp
+++ b/test/raw_endpoint.hpp
@@ -24,11 +24,15 @@
 inline constexpr std::size_t endless_bytes = 24 * 1024 * 1024;
 
 /// What an endpoint sends for one request: `bytes`, then `repeated` without
-/// end.
+/// end. After `pause` it sends `later`, and ends its connection.
 struct raw_response {
   std::string bytes;
   ending end = ending::closed;
   std::string repeated{};
+  duration pause{};
+  std::string later{};
+  /// Makes the bytes from the request, if set.
+  std::function<std::string(const std::string&)> compose{};
 };
 
 /// The responses that endpoints send in turn, the last one again for each
@@ -36,6 +40,9 @@
 struct raw_script {
   std::vector<raw_response> responses;
   std::vector<std::string> received;
+  std::string greeting{};  ///< sent on each new connection
+  /// All requests contain this, not before their end.
+  std::string request_end = "hello";
 };
 
 /// An endpoint that sends bytes as they are.
@@ -80,6 +87,8 @@
     std::string repeated{};
     std::size_t sent = 0;
     ending end = ending::none;
+    std::string later{};
+    instant later_at{};
   };
 
   auto crash() -> void {
@@ -94,7 +103,7 @@
     for (int socket = ::accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK);
          socket >= 0;
          socket = ::accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK))
-      connections_.push_back({socket});
+      connections_.push_back({socket, {}, script_->greeting});
     for (auto& each : connections_)
       if (each.socket >= 0) serve(each);
   }
@@ -105,8 +114,10 @@
     if (size == 0) return close(each, ending::closed);
     if (size < 0 && errno != EAGAIN) return close(each, ending::closed);
     if (size > 0) each.input.append(part.data(), std::size_t(size));
-    // All requests of these tests have this body.
-    if (each.input.find("hello") != std::string::npos) answer(each);
+    if (each.input.find(script_->request_end) != std::string::npos)
+      answer(each);
+    if (!write(each) || boottime_clock::now() < each.later_at) return;
+    each.output += std::exchange(each.later, {});
     if (!write(each) || each.end == ending::none) return;
     if (each.end == ending::crashed) return crash();
     close(each, each.end);
@@ -116,8 +127,11 @@
     received.push_back(std::exchange(each.input, {}));
     const auto& response =
         responses.at(std::min(received.size(), responses.size()) - 1);
-    each.output = response.bytes;
+    each.output +=
+        response.compose ? response.compose(received.back()) : response.bytes;
     each.repeated = response.repeated;
+    each.later = response.later;
+    each.later_at = boottime_clock::now() + response.pause;
     each.end = response.end;
   }
 
--- a/test/raw_entry_fixture.hpp
+++ b/test/raw_entry_fixture.hpp
@@ -80,7 +80,9 @@
     leader_ = std::make_unique<http_server>(
         *loop_, http_limits{}, [this](const exchange_ptr& call) {
           run_later(*loop_, milliseconds(10), [this, call] {
-            call->reply(200, {}, encode_wire(lease(endpoint_address, other_)));
+            auto reply = lease(endpoint_address, other_);
+            if (!configuration_.empty()) reply.configuration = configuration_;
+            call->reply(200, {}, encode_wire(reply));
           });
         });
     CPPUNIT_ASSERT(leader_->listen(control_address));
@@ -125,14 +127,18 @@
   /// the status of a complete response, or 0.
   auto call(const std::string& path, std::vector<raw_response> responses)
       -> int {
-    endpoint_->responses = std::move(responses);
-    endpoint_->received.clear();
-    http_client client(*loop_);
     http_call request{path.empty() ? own_address : front_address, "POST",
                       path.empty() ? "/services/app/x" : path + "x"};
     request.headers.add("Host", "h").add("Request-Id", "r1");
     request.headers.add("Authorization", "Bearer t");
     request.body = "hello";
+    return send(std::move(request), std::move(responses));
+  }
+
+  auto send(http_call request, std::vector<raw_response> responses) -> int {
+    endpoint_->responses = std::move(responses);
+    endpoint_->received.clear();
+    http_client client(*loop_);
     request.timeout = 2 * call_timeout;
     body_.clear();
     call_handlers handlers;
@@ -157,6 +163,7 @@
   std::optional<call_result> result_;
   std::string body_;
   socket_address other_ = endpoint_address;  // of `e2`
+  std::string configuration_;  // of the own interface, unless it is empty
   double retry_slack_ = front_options{}.retry_slack;
 };
 
@@ -176,15 +183,20 @@
  protected:
   /// Starts both endpoints anew.
   auto start_endpoints() -> void {
-    const auto script = std::make_shared<raw_script>();
+    script_ = std::make_shared<raw_script>();
     endpoint_.reset();
     other_endpoint_.reset();
     endpoint_ =
-        std::make_unique<raw_endpoint>(*loop_, endpoint_address, script);
+        std::make_unique<raw_endpoint>(*loop_, endpoint_address, script_);
     other_endpoint_ =
-        std::make_unique<raw_endpoint>(*loop_, other_endpoint_address, script);
+        std::make_unique<raw_endpoint>(*loop_, other_endpoint_address, script_);
+  }
+  auto script() -> raw_script& { return *script_; }
+  auto open_connections() const -> std::ptrdiff_t {
+    return endpoint_->open_connections() + other_endpoint_->open_connections();
   }
 
+  std::shared_ptr<raw_script> script_;
   std::unique_ptr<raw_endpoint> other_endpoint_;
 };
 
