Take a 503 of a model engine for a refusal only if it says that nothing began

What callers could see: a request that may not run twice ran up to four times: any 503 of an engine counted as a refusal, also one of a run that failed.

Cause: the promise, Engine-Began: no, was asked for plain services alone.

Evidence: unpromised_refusal_test failed before (4 dispatches of 1), passes now.

Change: both kinds of service read the refusal in one place.

--- a/src/caller_plain.cpp
+++ b/src/caller_plain.cpp
@@ -27,21 +27,19 @@
   const auto attempt = lifecycle_.attempt();
   auto weak_self = weak_from_this();
   pending_call_ = host_.client().send(
-      outgoing,
-      {[weak_self, attempt](int status, const auto& headers) {
-         auto self = weak_self.lock();
-         if (!self || attempt != self->lifecycle_.attempt()) return;
-         self->observe_notices(attempt, status, headers);
-         self->plain_status_ = status;
-         self->plain_content_type_ = headers.find("Content-Type").value_or("");
-         if (status == 503 && headers.find(engine_began_header) == "no")
-           self->plain_status_ = 0;
-       },
-       {},
-       [weak_self, attempt](const auto& result, auto body) {
-         if (auto self = weak_self.lock())
-           self->handle_plain_result(attempt, result, body);
-       }});
+      outgoing, {[weak_self, attempt](int status, const auto& headers) {
+                   auto self = weak_self.lock();
+                   if (!self || attempt != self->lifecycle_.attempt()) return;
+                   self->observe_notices(attempt, status, headers);
+                   self->plain_status_ = status;
+                   self->plain_content_type_ =
+                       headers.find("Content-Type").value_or("");
+                 },
+                 {},
+                 [weak_self, attempt](const auto& result, auto body) {
+                   if (auto self = weak_self.lock())
+                     self->handle_plain_result(attempt, result, body);
+                 }});
   if (params_.idempotent) arm_stall_timer();
 }
 
@@ -53,7 +51,7 @@
                           host_.record_answer_end(
                               {dispatch_id_, lifecycle_.attempt(),
                                stages_.front().endpoint->id, 1, completed});
-                          if (plain_status_ == 0) return handle_refusal(body);
+                          if (refused_) return handle_refusal(body);
                           response_text_ = body;
                           plain_end_ = completed.end;
                           release_slots(dispatch_result::served, "");
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -171,6 +171,7 @@
   host_.routes().dispatch_started(stages_, poison_suspect_, 0,
                                   boottime_clock::now());
   dispatch_active_ = true;
+  refused_ = false;
   dispatched_at_ = boottime_clock::now();
   host_.count_limited_dispatch(*stages_.front().endpoint);
   response_complete_ = false;
--- a/src/caller_request.hpp
+++ b/src/caller_request.hpp
@@ -147,6 +147,7 @@
   instant last_token_at_{};
   std::string failure_reason_ = "no endpoint could take the request";
   milliseconds retry_after_{1000};
+  bool refused_ = false;  // by the current answer, without a run
   int plain_status_ = 200;
   body_end plain_end_ = body_end::length;
   std::optional<int> failure_status_;  // replaces the default 503 or 502
--- a/src/caller_response.cpp
+++ b/src/caller_response.cpp
@@ -6,6 +6,7 @@
 auto caller_request::observe_notices(std::size_t attempt, int status,
                                      const http_headers& headers) -> void {
   if (attempt != lifecycle_.attempt() || !dispatch_active_) return;
+  refused_ = status == 503 && headers.find(engine_began_header) == "no";
   notices_ = decode_engine_notices(status, headers);
   host_.notices().observe(stages_, status, notices_, dispatched_at_);
 }
@@ -72,7 +73,7 @@
   std::visit(
       overloaded{
           [&](const call_completed& completed) {
-            if (completed.status == 503) return handle_refusal(body);
+            if (refused_) return handle_refusal(body);
             if (completed.status == 200) handle_engine_data(attempt, body);
             if (response_complete_ || !dispatch_active_ ||
                 attempt != lifecycle_.attempt())
