Reject a head that holds a second status line

What callers could see: an endpoint stops in the head of a refusal and sends the answer after it, on one connection: the caller is told 503 for a request that has run, or a second endpoint gets it.

Cause: evhttp reads HTTP/1.1 503 FuHTTP/1.1 200 OK as one head with status 503.

Change: a status line in the reason or in a field makes the answer invalid, which is no promise.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -35,6 +35,38 @@
   });
 }
 
+/// Whether the text holds a status line, `HTTP/1.1 200`.
+auto contains_status_line(std::string_view text) -> bool {
+  constexpr std::string_view protocol = "HTTP/1.";
+  const auto digit = [](char c) { return c >= '0' && c <= '9'; };
+  for (auto at = text.find(protocol); at != std::string_view::npos;
+       at = text.find(protocol, at + 1)) {
+    const auto rest = text.substr(at + protocol.size(), 5);
+    if (rest.size() == 5 && digit(rest[0]) && rest[1] == ' ' &&
+        std::all_of(rest.begin() + 2, rest.end(), digit))
+      return true;
+  }
+  return false;
+}
+
+/// Whether the head was cut and another one followed, which evhttp reads as
+/// one.
+auto holds_second_head(evhttp_request* response, const http_headers& headers)
+    -> bool {
+  const auto* line = evhttp_request_get_response_code_line(response);
+  const std::string reason = line == nullptr ? "" : line;
+  // A status line that follows the digits of a cut one leaves its own status.
+  const auto begins_with_status =
+      reason.size() >= 3 &&
+      std::all_of(reason.begin(), reason.begin() + 3,
+                  [](char c) { return c >= '0' && c <= '9'; });
+  const auto& fields = headers.fields();
+  return begins_with_status || contains_status_line(reason) ||
+         std::any_of(fields.begin(), fields.end(), [](const auto& field) {
+           return contains_status_line(field.second);
+         });
+}
+
 }  // namespace
 
 auto find_body_end(const std::string& method, int status,
@@ -181,7 +213,8 @@
       return true;
     }
     const auto headers = detail::read_headers(fields);
-    if (status < HTTP_OK || status > max_status || !framing_is_known(headers)) {
+    if (status < HTTP_OK || status > max_status || !framing_is_known(headers) ||
+        holds_second_head(handle, headers)) {
       rejection = "invalid response";
       return false;
     }
