Count no reset of a probe as the end of a process

Found by a review of the check of listeners, not seen by callers: a full endpoint resets a channel that it has accepted. If that arrives before the loop looks, the probe took it for a refused connection: a whole answer would be lost, and a sound request charged with a crash.

Evidence: listener_prober_test failed before (review, refused), passes now.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -416,7 +416,8 @@
   static auto on_event(bufferevent* /*stream*/, short what, void* arg) -> void {
     const auto* self = static_cast<attempt*>(arg);
     const auto code = EVUTIL_SOCKET_ERROR();
-    const auto refused = code == ECONNREFUSED || code == ECONNRESET;
+    // A reset follows an accepted connection.
+    const auto refused = code == ECONNREFUSED;
     const auto state =
         (what & BEV_EVENT_CONNECTED) != 0
             ? listener_state::listening
