Announce the length of replies to callers that speak HTTP/1.0

Evidence: caller_framing_test, reply_to_an_old_caller_has_no_length; the case with a closing caller is the one that evhttp leaves out.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -170,6 +170,11 @@
     return handle->major > 1 || (handle->major == 1 && handle->minor >= 1);
   }
 
+  auto has_body(int status) const -> bool {
+    return handle->type != EVHTTP_REQ_HEAD && status != HTTP_NOCONTENT &&
+           status != HTTP_NOTMODIFIED;
+  }
+
   /// Sends the head of a response that ends with its connection. evhttp
   /// announces no length of its own only for a request without a response body.
   auto start_until_close(int status) -> void {
@@ -224,8 +229,13 @@
     return end();
   }
   auto* handle = impl_->handle;
+  auto* fields = evhttp_request_get_output_headers(handle);
+  detail::write_headers(fields, headers);
+  // evhttp announces no length to a caller of HTTP/1.0.
+  if (!impl_->knows_chunks() && impl_->has_body(status))
+    evhttp_add_header(fields, "Content-Length",
+                      std::to_string(body.size()).c_str());
   impl_->release();
-  detail::write_headers(evhttp_request_get_output_headers(handle), headers);
   auto* buffer = evbuffer_new();
   evbuffer_add(buffer, body.data(), body.size());
   evhttp_send_reply(handle, status, nullptr, buffer);
--- a/test/caller_framing_test.cpp
+++ b/test/caller_framing_test.cpp
@@ -106,6 +106,7 @@
   CPPUNIT_TEST(stream_to_an_old_caller_is_empty);
   CPPUNIT_TEST(aborted_stream_to_an_old_caller_looks_whole);
   CPPUNIT_TEST(stream_of_a_killed_process_looks_whole);
+  CPPUNIT_TEST(reply_to_an_old_caller_has_no_length);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -146,6 +147,19 @@
     server.end();
     CPPUNIT_ASSERT(!caller.read_to_end());
   }
+
+  auto reply_to_an_old_caller_has_no_length() -> void {
+    const server_process server(
+        [](const exchange_ptr& call) { call->reply(200, {}, "whole"); });
+    for (const auto& request : {old_request, old_keep_alive_request}) {
+      raw_caller caller(request);
+      caller.read_until("whole");
+      const auto length = caller.received.find("Content-Length: 5\r\n");
+      CPPUNIT_ASSERT(length != std::string::npos);
+      CPPUNIT_ASSERT(caller.received.find("Content-Length", length + 1) ==
+                     std::string::npos);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(caller_framing_test);
