Believe no end of a chain that has lost a stage

What callers could see: a stage of a chain is lost, the head ends its stream without length, and the stream ends as whole.

Cause: the listeners of the stages were asked as they were after the loss: the chain had been mended on this VM's side, the lost stage had started again, or it didn't answer at all.

Change: an attempt that has lost a stage keeps that, whatever replaces it, and fails if only the connection ends it. In a chain every stage must listen. A plain endpoint that says that it leaves may end after its last answer: it isn't asked unless the request may be repeated.

--- a/src/crash_monitor.cpp
+++ b/src/crash_monitor.cpp
@@ -27,30 +27,37 @@
       report_(std::move(report)),
       prober_(loop) {}
 
-auto crash_monitor::detect_crash(const socket_address& endpoint,
-                                 result_handler done) -> void {
+auto crash_monitor::probe(const socket_address& endpoint, state_handler done)
+    -> void {
   run_later(
       loop_, probe_delay,
       [this, endpoint, alive = std::weak_ptr(alive_), done = std::move(done)] {
-        if (alive.expired()) return;
-        prober_.probe(endpoint, probe_timeout, [done](listener_state state) {
-          done(state == listener_state::refused);
-        });
+        if (!alive.expired()) prober_.probe(endpoint, probe_timeout, done);
       });
 }
 
+auto crash_monitor::detect_crash(const socket_address& endpoint,
+                                 result_handler done) -> void {
+  probe(endpoint, [done = std::move(done)](listener_state state) {
+    done(state == listener_state::refused);
+  });
+}
+
 auto crash_monitor::attribute(const interrupted_request& request,
-                              const chain& stages, const result_handler& done)
+                              const chain& stages, const state_handler& done)
     -> void {
   const auto remaining = std::make_shared<std::size_t>(stages.size());
-  const auto any_crashed = std::make_shared<bool>(false);
+  const auto worst =
+      std::make_shared<listener_state>(listener_state::listening);
   for (const auto& stage : stages) {
     const auto endpoint = stage.endpoint;
-    detect_crash(endpoint->address, [this, request, endpoint, remaining,
-                                     any_crashed, done](bool crashed) {
-      if (crashed) charge(request, *endpoint);
-      *any_crashed |= crashed;
-      if (--*remaining == 0) done(*any_crashed);
+    probe(endpoint->address, [this, request, endpoint, remaining, worst,
+                              done](listener_state state) {
+      if (state == listener_state::refused) charge(request, *endpoint);
+      if (*worst != listener_state::refused &&
+          state != listener_state::listening)
+        *worst = state;
+      if (--*remaining == 0) done(*worst);
     });
   }
 }
--- a/src/crash_monitor.hpp
+++ b/src/crash_monitor.hpp
@@ -38,6 +38,7 @@
   /// Sends a report to the control role.
   using report_sink = sigc::slot<void(const wire::blame_command&)>;
   using result_handler = sigc::slot<void(bool)>;
+  using state_handler = sigc::slot<void(listener_state)>;
 
   crash_monitor(event_loop& loop, crash_guard& guard, metrics& registry,
                 report_sink report);
@@ -47,14 +48,18 @@
   auto guard() -> crash_guard& { return guard_; }
   /// For checks only: records nothing from now on.
   auto disable() -> void { disabled_ = true; }
+  /// Tells `done` whether a process listens at an endpoint, once connections
+  /// that it closed before its listener are closed.
+  auto probe(const socket_address& endpoint, state_handler done) -> void;
   /// Tells whether a process still listens at an endpoint: `done` gets true if
   /// the endpoint has crashed, false if it has not or cannot be reached.
   auto detect_crash(const socket_address& endpoint, result_handler done)
       -> void;
   /// Checks the endpoints of an interrupted dispatch, records a crash against
-  /// the request and tells `done` whether any has crashed.
+  /// the request and tells `done` the worst state of their listeners: refused
+  /// before unknown before listening.
   auto attribute(const interrupted_request& request, const chain& stages,
-                 const result_handler& done) -> void;
+                 const state_handler& done) -> void;
   /// Records a crash that is known already.
   auto record_crash(const interrupted_request& request,
                     const endpoint_view& endpoint) -> void;
--- a/src/front_repair.cpp
+++ b/src/front_repair.cpp
@@ -42,12 +42,13 @@
       dispatch_active_ &&
       std::any_of(stages_.begin(), stages_.end(),
                   [&](const auto& stage) { return stage.endpoint->id == id; });
+  stage_lost_ |= affected;
   if (!affected || !params_.route->may_repeat()) return;
   avoided_endpoints_.insert(id);
   chain failed;
   std::copy_if(stages_.begin(), stages_.end(), std::back_inserter(failed),
                [&](const auto& stage) { return stage.endpoint->id == id; });
-  attribute_crash(failed, [this, id](bool /*crashed*/) {
+  attribute_crash(failed, [this, id](auto /*state*/) {
     repair_or_abandon(id, boottime_clock::now() + repair_timeout);
   });
 }
@@ -145,7 +146,7 @@
 /// A dispatch stalls when any of its stages has crashed.
 auto front_request::handle_stall() -> void {
   host_.reach().contact_failed(stages_.front().endpoint->id);
-  attribute_crash(stages_, [this, events = events_.size()](bool /*crashed*/) {
+  attribute_crash(stages_, [this, events = events_.size()](auto /*state*/) {
     if (events == events_.size()) abandon_stalled_dispatch();
   });
 }
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -170,6 +170,7 @@
   partial_event_.clear();
   events_.begin_answer(exchange_->started());
   parts_survived_ = false;
+  stage_lost_ = false;
   dispatched_at_ = boottime_clock::now();
   exposure_ = {dispatched_at_};
   if (lifecycle_.attempt() == 1)
@@ -289,13 +290,13 @@
   const auto stages = stages_;
   host_.reach().contact_failed(stages.front().endpoint->id);
   end_failed_dispatch(cause);
-  attribute_crash(stages, [this](bool /*crashed*/) {
+  attribute_crash(stages, [this](auto /*state*/) {
     continue_after(request_event::broken);
   });
 }
 
 auto front_request::attribute_crash(const chain& stages,
-                                    sigc::slot<void(bool)> next) -> void {
+                                    crash_monitor::state_handler next) -> void {
   const auto points = events_.answer_size() > 0
                           ? inferred_points_after_first_event
                           : inferred_points_before_first_event;
@@ -307,7 +308,7 @@
        parts_survived_ ? std::vector<std::uint64_t>{} : params_.parts},
       stages,
       [self = weak_from_this(), attempt, dispatch_active,
-       next = std::move(next)](bool crashed) {
+       next = std::move(next)](listener_state state) {
         auto request = self.lock();
         if (!request || request->ended() ||
             request->lifecycle_.attempt() != attempt ||
@@ -316,7 +317,7 @@
         // Slots are released as they were taken.
         if (!dispatch_active)
           request->poison_suspect_ |= *request->exposure_.charged;
-        next(crashed);
+        next(state);
       });
 }
 
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -122,6 +122,8 @@
   auto handle_response(std::string_view body) -> void;
   /// Completes the request unless a process that ran it has ended.
   auto check_end() -> void;
+  auto check_relayed_end() -> void;
+  auto fail_end() -> void;
   auto complete() -> void;
   auto handle_refusal() -> void;
   auto handle_relay_refusal(const std::string& where) -> void;
@@ -132,7 +134,7 @@
   auto end_failed_dispatch(const error& cause) -> void;
   /// Records a crash of any of the `stages` against this request, then tells
   /// `next` of it unless the request has ended or gone on by then.
-  auto attribute_crash(const chain& stages, sigc::slot<void(bool)> next)
+  auto attribute_crash(const chain& stages, crash_monitor::state_handler next)
       -> void;
   /// Whether crashes recorded since its admission forbid to run the request.
   auto stopped_by_crashes() const -> bool;
@@ -205,6 +207,7 @@
   body_end caller_end_ = body_end::length;
   std::string caller_media_type_;
   instant data_at_{};             // of the last part of a stream
+  bool stage_lost_ = false;       // in this attempt
   bool parts_survived_ = false;   // in this attempt
   bool prompt_survived_ = false;  // in any attempt
   std::string end_reason_;
--- a/src/front_response.cpp
+++ b/src/front_response.cpp
@@ -85,28 +85,44 @@
   complete();
 }
 
-/// The end of a process closes its connections, too, and a runner ends its
-/// answer when it loses a later stage.
+/// The end of a process closes its connections, too, and the head of a chain
+/// ends its answer when it loses a later stage.
 auto front_request::check_end() -> void {
-  auto done = [this](bool crashed) {
-    if (!crashed) return complete();
-    fail_attempt({"answer.end", stages_.front().endpoint->id,
-                  "a process that ran the request has ended"});
-  };
-  if (!peer_) return attribute_crash(stages_, std::move(done));
+  if (peer_) return check_relayed_end();
+  if (stage_lost_) return fail_end();
+  const auto& head = *stages_.front().endpoint;
+  const auto leaves =
+      response_head_.notices.leaving ||
+      host_.notices().endpoints().leaves(head.id, head.incarnation);
+  // It may end after its last answer.
+  if (leaves && stages_.size() == 1 && !params_.route->may_repeat())
+    return complete();
+  attribute_crash(stages_, [this](listener_state state) {
+    const auto gone = state == listener_state::refused ||
+                      (state == listener_state::unknown && stages_.size() > 1);
+    gone ? fail_end() : complete();
+  });
+}
+
+auto front_request::check_relayed_end() -> void {
   host_.crashes().detect_crash(
       peer_->view->address,
-      [self = weak_from_this(), attempt = lifecycle_.attempt(),
-       done = std::move(done)](bool crashed) {
+      [self = weak_from_this(), attempt = lifecycle_.attempt()](bool crashed) {
         auto request = self.lock();
         if (!request || request->ended() ||
             request->lifecycle_.attempt() != attempt)
           return;
-        if (crashed) request->host_.relay().drop(request->peer_->view->id);
-        done(crashed);
+        if (!crashed) return request->complete();
+        request->host_.relay().drop(request->peer_->view->id);
+        request->fail_end();
       });
 }
 
+auto front_request::fail_end() -> void {
+  fail_attempt({"answer.end", stages_.front().endpoint->id,
+                "a process that ran the request has ended"});
+}
+
 auto front_request::complete() -> void {
   // An endpoint that answers with an error may not have run the request.
   if (response_.status < 500 && !peer_) {
