Back off only where the caller reads the stream already

Found by a review: a plain request that broke once and is refused since waited up to 1 s outside the queue, where a place that becomes free doesn't wake it. Streams that callers read are what endpoints saw again and again.

--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -223,7 +223,7 @@
   const auto resumes_refused_stream =
       event == request_event::not_run && !lifecycle_.no_earlier_run();
   if (resumes_refused_stream && budget_.try_withdraw())
-    return requeue_refused();
+    return exchange_->started() ? requeue_refused() : step(request_event::busy);
   refusals_ = 0;
   step(event);
 }
