Fail an attempt whose refusal has events

Found by a trial: a 200 that says that it has not run and sends an event held its caller to the deadline, 4 s, since a stream that has begun can't be refused. Both can't be true, so the attempt has failed. No test of its own yet.

--- a/src/front_response.cpp
+++ b/src/front_response.cpp
@@ -68,7 +68,11 @@
     return fail_attempt({"answer.head", stages_.front().endpoint->id,
                          "the answer is for another request"});
   if (relay_refusal_) return handle_relay_refusal(*relay_refusal_);
-  if (response_head_.not_run && !peer_) return handle_refusal();
+  if (response_head_.not_run && !peer_) {
+    if (events_.answer_size() == 0) return handle_refusal();
+    return fail_attempt(
+        {"answer.head", stages_.front().endpoint->id, "a refusal has events"});
+  }
   response_.body = body;
   const auto failed = response_.status >= 500;
   const auto started = exchange_->started();
