Accept a rest that names events where the stream named no media type

cut_head_test, cut_second_head_ends_a_stream_as_whole, failed on: its stream names no media type and its rest names that of events.

--- a/src/front_stream.cpp
+++ b/src/front_stream.cpp
@@ -41,8 +41,10 @@
 }
 
 auto front_request::has_other_media_type() const -> bool {
-  return events_.resumed() &&
-         media_type(response_.headers) != caller_media_type_;
+  const auto type = media_type(response_.headers);
+  const auto names_events =
+      caller_media_type_.empty() && type == event_media_type;
+  return events_.resumed() && type != caller_media_type_ && !names_events;
 }
 
 /// Forwards complete events. An interrupted event is generated again by the
