Believe no refusal without an id of a request that may not run again

What callers could see: a refusal that names no request, first on its connection, sends a request that may not run twice to a second endpoint, or ends it with 503. As the users report it, a refusal of an earlier request on a kept connection, it can't happen here: no connection to an endpoint is kept (repeated_refusal_test).

Evidence: unnamed_refusal_test, 3 of 3 failed before, pass now.

Change: such an answer fails the attempt. The stand-in echoes the id in pauses.

--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -125,6 +125,7 @@
   auto check_relayed_end() -> void;
   auto fail_end() -> void;
   auto complete() -> void;
+  auto find_refusal_fault() const -> const char*;
   auto handle_refusal() -> void;
   auto handle_relay_refusal(const std::string& where) -> void;
   auto handle_unsent(const error& cause) -> void;
--- a/src/front_response.cpp
+++ b/src/front_response.cpp
@@ -69,9 +69,9 @@
                          "the answer is for another request"});
   if (relay_refusal_) return handle_relay_refusal(*relay_refusal_);
   if (response_head_.not_run && !peer_) {
-    if (events_.answer_size() == 0) return handle_refusal();
-    return fail_attempt(
-        {"answer.head", stages_.front().endpoint->id, "a refusal has events"});
+    const auto* fault = find_refusal_fault();
+    if (fault == nullptr) return handle_refusal();
+    return fail_attempt({"answer.head", stages_.front().endpoint->id, fault});
   }
   response_.body = body;
   const auto failed = response_.status >= 500;
@@ -137,6 +137,16 @@
   step(request_event::completed);
 }
 
+/// Why an answer that says that nothing ran isn't believed; null if it is.
+auto front_request::find_refusal_fault() const -> const char* {
+  if (events_.answer_size() > 0) return "a refusal has events";
+  const auto unnamed =
+      response_head_.request_id.empty() && !params_.headers.request_id.empty();
+  if (unnamed && !params_.route->may_repeat())
+    return "a refusal names no request";
+  return nullptr;
+}
+
 auto front_request::endpoint_by_address(const std::string& address) const
     -> std::string {
   for (const auto& stage : stages_)
--- a/src/standin_plain.cpp
+++ b/src/standin_plain.cpp
@@ -13,6 +13,7 @@
 constexpr auto platform_leaving_header = "Server-Leaving";
 constexpr auto own_leaving_header = "Engine-Leaving";
 constexpr auto platform_not_run_header = "Not-Executed";
+constexpr auto platform_id_header = "Request-Id";
 
 }  // namespace
 
@@ -39,6 +40,8 @@
   headers.add("Content-Type", "application/json");
   headers.add(on_front ? platform_not_run_header : "Engine-Began",
               on_front ? "1" : "no");
+  if (const auto id = call->request().headers.find(platform_id_header))
+    headers.add(platform_id_header, *id);
   const auto left = paused_until_ - boottime_clock::now();
   headers.add("Retry-After",
               std::to_string(std::chrono::duration<double>(left).count()));
