--- a/test/front_request_test.cpp
+++ b/test/front_request_test.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(truncated_response_is_not_a_success);
   CPPUNIT_TEST(stream_resumes_after_the_last_complete_event);
   CPPUNIT_TEST(refused_resumption_is_retried);
+  CPPUNIT_TEST(refusal_with_events_holds_the_caller_to_the_deadline);
   CPPUNIT_TEST(error_of_a_resumption_ends_the_stream_as_whole);
   CPPUNIT_TEST(error_of_a_resumption_is_not_retried);
   CPPUNIT_TEST(stream_waits_for_the_retry_budget);
@@ -127,6 +128,19 @@
     CPPUNIT_ASSERT(received_[1].headers.find("Last-Event-Id") == "2");
   }
 
+  auto refusal_with_events_holds_the_caller_to_the_deadline() -> void {
+    make_stream(false);
+    endpoint_handler_ = [](const exchange_ptr& call, auto) {
+      call->start(200, endpoint_headers().add("Not-Executed", "1"));
+      call->chunk(event(1));
+      call->end();
+    };
+    const auto start = boottime_clock::now();
+    send_request();
+    CPPUNIT_ASSERT(!completed());
+    CPPUNIT_ASSERT(boottime_clock::now() - start < route_.timeout / 2);
+  }
+
   /// Guards against aborting a stream when the runner that should resume it
   /// refuses.
   auto refused_resumption_is_retried() -> void {
