--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -57,7 +57,7 @@
   auto reset_unfinished() const -> void {
     if (!ends_response || (current == nullptr && !sending)) return;
     const sockaddr none{AF_UNSPEC, {}};
-    ::connect(bufferevent_getfd(stream()), &none, sizeof none);
+    (void)::connect(bufferevent_getfd(stream()), &none, sizeof none);
   }
   /// Watches a complete response until the socket has accepted its last byte.
   /// Only a caller that takes no data ends it early.
