--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -2,7 +2,7 @@
 // after the successor's start, two others lose their disks right after an
 // acknowledgement. TROUBLE=0: no disk is lost. TROUBLE=disks: the disks are
 // lost, but nothing was replaced before.
-#include "../tools/runner.hpp"
+#include "../runner.hpp"
 
 using namespace review;
 
@@ -71,6 +71,8 @@
       const auto response =
           control_call(node->ip, site.control_port, "GET", "/config", "");
       ++statuses[response.status()];
+      record.line("operator: GET /config at %s: %d", node->name.c_str(),
+                  response.status());
       if (response.status() != 200 || !response.whole) continue;
       ++answers;
       newest = std::max(newest, version_of(response.body));
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,6 +1,6 @@
 // An endpoint has left by DELETE and has its acknowledgement. All control VMs
 // are killed at once and come back within a second.
-#include "../tools/runner.hpp"
+#include "../runner.hpp"
 
 using namespace review;
 
