--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -11,6 +11,7 @@
 #include "control_settings.hpp"
 #include "directory_store.hpp"
 #include "layer_placer.hpp"
+#include "membership.hpp"
 #include "operator_views.hpp"
 #include "peer_link.hpp"
 #include "pollenloft/control.hpp"
@@ -42,10 +43,6 @@
 constexpr auto orphan_grace_period = std::chrono::seconds(3);
 /// Three heartbeats of the leader at the default interval.
 constexpr auto leader_contact_timeout = milliseconds(300);
-constexpr auto join_retry_interval = milliseconds(500);
-/// A member that has not replied for this long may be replaced by a replica
-/// that requests to join.
-constexpr auto member_replacement_delay = std::chrono::seconds(5);
 constexpr auto patch_timeout = std::chrono::seconds(8);
 constexpr std::size_t max_in_flight_per_peer = 64;  // requests
 constexpr std::size_t max_pending_claims = 20000;   // not committed yet
@@ -98,15 +95,13 @@
         metrics_address_(parse_socket_address(values.text("metrics-listen"))),
         disk_(std::move(disk)),
         peers_(values.named_addresses("peers")),
-        seeds_(values.address_list("seeds")),
         listen_(values.address("listen")),
         id_(own_id(values)),
-        max_members_(
-            static_cast<std::size_t>(2 * values.number("tolerate-losses") + 1)),
         leases_(values.millis("lease-ms")),
         lease_wait_disabled_(values.text("switch-off") == "lease-wait"),
         replica_(make_options(values), disk_.take_persisted_state(),
                  boottime_clock::now()),
+        group_(replica_, make_membership_options(values)),
         directory_store_(disk_, directory_),
         placer_(loop_, client_, directory_, values.millis("report-period-ms")),
         pacer_(loop_, bulk_bytes_per_second(values)) {
@@ -154,8 +149,8 @@
 
   auto failed() const -> bool { return failed_; }
 
-  auto set_seeds(std::vector<socket_address> seeds) -> void {
-    seeds_ = std::move(seeds);
+  auto set_seeds(const std::vector<socket_address>& seeds) -> void {
+    group_.set_seeds(ids_of(seeds));
   }
 
   // control_host
@@ -259,11 +254,28 @@
     return bulk_link_share * bytes_per_megabit * values.decimal("link-mbps");
   }
 
+  static auto ids_of(const std::vector<socket_address>& addresses)
+      -> std::vector<replica_id> {
+    std::vector<replica_id> ids;
+    for (const auto& address : addresses)
+      ids.push_back(ipv4_number(address.host));
+    return ids;
+  }
+
+  static auto make_membership_options(const settings& values)
+      -> membership_options {
+    membership_options options;
+    options.id = own_id(values);
+    options.seeds = ids_of(values.address_list("seeds"));
+    options.full_size =
+        static_cast<std::size_t>(2 * values.number("tolerate-losses") + 1);
+    return options;
+  }
+
   static auto make_options(const settings& values) -> replica_options {
     replica_options options;
     options.id = own_id(values);
-    for (const auto& seed : values.address_list("seeds"))
-      options.members.push_back(ipv4_number(seed.host));
+    options.members = ids_of(values.address_list("seeds"));
     options.min_copies =
         static_cast<std::size_t>(values.number("tolerate-losses")) + 1;
     options.allow_bootstrap = values.flag("bootstrap");
@@ -487,7 +499,7 @@
       drop_links_of_removed_members();
       share_task_.schedule();
     }
-    request_membership(now);
+    tick_membership(now);
     publish_suspects(now);
     reply_to_renewals(now);
     reply_to_state_requests(now);
@@ -524,7 +536,6 @@
          {"peer_bytes", control_bytes_}});
     if (leads) {
       leases_.start_term(now);
-      leader_since_ = now;
       if (gateway_) gateway_->broadcast_directory();
       // Entry VMs send their endpoints again to a new leader. The platform's
       // endpoints report to any control VM, which shares them with all others.
@@ -696,62 +707,34 @@
 
   // --- membership --------------------------------------------------------
 
-  /// A replica that is not a member asks the seeds and the known members to be
-  /// added. The reply carries nothing: the replica learns of its membership
-  /// from the log.
-  auto request_membership(instant now) -> void {
-    if (seeds_.empty() || now - join_requested_at_ < join_retry_interval)
-      return;
-    if (replica_.is_member(id_)) return;
-    join_requested_at_ = now;
-    wire::join_request request;
-    request.id = static_cast<std::int32_t>(id_);
-    const auto body = encode_wire(request);
-    std::set<replica_id> receivers;
-    for (const auto& seed : seeds_)
-      receivers.insert(ipv4_number(seed.host));
-    for (auto id : replica_.members())
-      receivers.insert(id);
-    for (auto id : receivers)
-      if (id != id_) post_to(id, "/peer/join", body);
+  auto tick_membership(instant now) -> void {
+    group_.tick(now);
+    carry_out_membership();
   }
 
+  /// The reply carries nothing: the replica learns of its membership from the
+  /// log.
   auto handle_join(const exchange_ptr& call) -> void {
     const auto request = decode_body<wire::join_request>(call);
     if (!request) return;
     call->reply(200, {}, "");
-    const auto id = static_cast<replica_id>(request->id);
-    if (!is_active_leader() || replica_.is_member(id)) return;
-    auto members = replica_.members();
-    if (members.size() >= max_members_) {
-      const auto absent = longest_absent_member(boottime_clock::now());
-      if (!absent) return;
-      members.erase(std::find(members.begin(), members.end(), *absent));
-      log_event(log_level::warning, "member.removed",
-                {{"id", *absent}, {"address", ipv4_text(*absent)}});
-    } else {
-      members.push_back(id);
-      log_event(log_level::info, "member.added",
-                {{"id", id}, {"address", ipv4_text(id)}});
-    }
-    if (!replica_.propose_members(members, boottime_clock::now()))
-      log_failure("member.change_refused", last_error());
-    flush_task_.schedule();
+    group_.receive(join_request{static_cast<replica_id>(request->id)},
+                   boottime_clock::now());
+    carry_out_membership();
   }
 
-  /// The member that has not replied for the longest time; empty if none is
-  /// absent for `member_replacement_delay`.
-  auto longest_absent_member(instant now) const -> std::optional<replica_id> {
-    std::optional<replica_id> longest;
-    auto since = now - member_replacement_delay;
-    for (auto id : replica_.members()) {
-      if (id == id_) continue;
-      const auto last_reply = replica_.last_heard(id).value_or(leader_since_);
-      if (last_reply > since) continue;
-      since = last_reply;
-      longest = id;
+  auto carry_out_membership() -> void {
+    for (const auto& message : group_.take_messages()) {
+      wire::join_request request;
+      request.id = static_cast<std::int32_t>(message.body.id);
+      post_to(message.to, "/peer/join", encode_wire(request));
+    }
+    for (const auto& change : group_.take_changes()) {
+      log_event(log_level::info,
+                change.added ? "member.added" : "member.removed",
+                {{"id", change.id}, {"address", ipv4_text(change.id)}});
+      flush_task_.schedule();
     }
-    return longest;
   }
 
   auto handle_directory(const exchange_ptr& call) -> void {
@@ -1425,13 +1408,12 @@
   std::optional<socket_address> metrics_address_;
   journal disk_;
   std::map<std::string, socket_address> peers_;
-  std::vector<socket_address> seeds_;
   socket_address listen_;
   replica_id id_;
-  std::size_t max_members_;
   lease_table leases_;
   bool lease_wait_disabled_;
   replica replica_;
+  membership group_;
   control_state state_;
   crash_inbox crash_inbox_;
   permit_issuer permit_issuer_;
@@ -1445,8 +1427,6 @@
   layer_placer placer_;
   reply_pacer pacer_;
   std::unique_ptr<control_gateway> gateway_;
-  instant join_requested_at_{};
-  instant leader_since_{};
   metrics metrics_;
   timer tick_timer_;
   timer stop_timer_;
