--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -718,8 +718,9 @@
     const auto request = decode_body<wire::join_request>(call);
     if (!request) return;
     call->reply(200, {}, "");
-    group_.receive(join_request{static_cast<replica_id>(request->id)},
-                   boottime_clock::now());
+    group_.receive(
+        join_request{static_cast<replica_id>(request->id), request->forwarded},
+        boottime_clock::now());
     carry_out_membership();
   }
 
@@ -727,6 +728,7 @@
     for (const auto& message : group_.take_messages()) {
       wire::join_request request;
       request.id = static_cast<std::int32_t>(message.body.id);
+      request.forwarded = message.body.forwarded;
       post_to(message.to, "/peer/join", encode_wire(request));
     }
     for (const auto& change : group_.take_changes()) {
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr auto join_retry_interval = milliseconds(500);
+/// A replica without contact to a leader may have been removed without learning
+/// of it, so it asks as well. Longer than an election.
+constexpr auto leader_silence = std::chrono::seconds(1);
 /// A member that has not replied for this long may be replaced by a replica
 /// that requests to join.
 constexpr auto member_replacement_delay = std::chrono::seconds(5);
@@ -30,9 +33,9 @@
   if (node_.role() == replica_role::leader &&
       std::exchange(known_term_, node_.term()) != node_.term())
     leader_since_ = now;
-  if (options_.seeds.empty() || now - join_requested_at_ < join_retry_interval)
+  if (options_.seeds.empty() ||
+      now - join_requested_at_ < join_retry_interval || !needs_membership(now))
     return;
-  if (node_.is_member(options_.id)) return;
   join_requested_at_ = now;
   std::set<replica_id> receivers(options_.seeds.begin(), options_.seeds.end());
   receivers.insert(node_.members().begin(), node_.members().end());
@@ -41,8 +44,23 @@
     messages_.push_back({id, join_request{options_.id}});
 }
 
+/// The own log may say "member" for good: the removal commits without the
+/// removed replica, and the next leader does not know it.
+auto membership::needs_membership(instant now) const -> bool {
+  if (!node_.is_member(options_.id)) return true;
+  return node_.role() != replica_role::leader &&
+         now - node_.last_leader_contact() > leader_silence;
+}
+
 auto membership::receive(const join_request& request, instant now) -> void {
-  if (!is_active_leader(now) || node_.is_member(request.id)) return;
+  if (!is_active_leader(now)) {
+    const auto leader = node_.leader();
+    if (!request.forwarded && leader != 0 && leader != request.id &&
+        leader != options_.id)
+      messages_.push_back({leader, join_request{request.id, true}});
+    return;
+  }
+  if (node_.is_member(request.id)) return;
   auto members = node_.members();
   if (members.size() < options_.full_size) {
     members.push_back(request.id);
--- a/src/membership.hpp
+++ b/src/membership.hpp
@@ -16,9 +16,11 @@
 
 namespace pollenloft {
 
-/// A replica asks the leader to be added.
+/// A replica asks the leader to be added. A replica that does not lead forwards
+/// it once, since the sender may know none of today's members.
 struct join_request {
   replica_id id = 0;
+  bool forwarded = false;
 };
 
 struct membership_message {
@@ -61,6 +63,7 @@
 
  private:
   auto is_active_leader(instant now) const -> bool;
+  auto needs_membership(instant now) const -> bool;
   auto longest_absent_member(instant now) const -> std::optional<replica_id>;
   auto propose(std::vector<replica_id> members, member_change change,
                instant now) -> void;
--- a/support/pollenloft.thrift
+++ b/support/pollenloft.thrift
@@ -197,8 +197,9 @@
 // The endpoint directory as a control replica stores it on disk.
 struct saved_directory { 1: i64 at_ms, 2: list<endpoint_record> records }
 
-// A control VM that is not a member asks to become one.
-struct join_request { 1: i32 id }
+// A control VM that is not a member, or may be none any more, asks to become
+// one. A receiver that does not lead sends it on, `forwarded`.
+struct join_request { 1: i32 id, 2: bool forwarded }
 
 // A part of a message between control replicas that is too large for one call.
 // `path` is that of the complete message, `total` its size and `digest` its
