--- a/include/pollenloft/replica.hpp
+++ b/include/pollenloft/replica.hpp
@@ -149,6 +149,11 @@
   std::vector<log_entry> entries;
 };
 
+namespace detail {
+/// Member ids from the data of an entry of kind `members`.
+auto decode_members(const std::string& text) -> std::vector<replica_id>;
+}  // namespace detail
+
 enum class replica_role { recovering, follower, candidate, leader };
 
 /// One replica of the log:
@@ -177,7 +182,18 @@
   /// returns the latest snapshot. Does nothing if `index` is not committed or
   /// already covered by a snapshot.
   auto compact(log_index index, std::string data) -> const log_snapshot&;
-  /// Steps down and tells the most up-to-date follower to start an election.
+  /// Whether a change of the member list is not committed yet.
+  auto changes_members() const -> bool;
+  /// Replicates the log to a replica that is not a member as well, so that it
+  /// is up to date when it becomes one. Only the leader has learners; a member
+  /// that it removes stays one.
+  auto add_learner(replica_id id, instant now) -> void;
+  auto drop_learner(replica_id id) -> void;
+  auto learners() const -> std::vector<replica_id>;
+  /// Last index known to be in the log of another replica; 0 if unknown or if
+  /// this replica does not lead.
+  auto match_index(replica_id id) const -> log_index;
+  /// Steps down and tells the most up-to-date member to start an election.
   auto transfer_leadership(instant now) -> void;
   /// Moves out the effects that have accumulated since the last call.
   auto take_effects() -> replica_effects;
@@ -193,8 +209,8 @@
   auto first_index() const -> log_index { return snapshot_.index + 1; }
   auto members() const -> const std::vector<replica_id>& { return members_; }
   auto is_member(replica_id id) const -> bool;
-  /// Time of the last reply from a member; empty if there was none or this
-  /// replica is not the leader.
+  /// Time of the last reply from a member or learner; empty if there was none
+  /// or this replica is not the leader.
   auto last_heard(replica_id id) const -> std::optional<instant>;
   /// Time of the last message from a leader, or of the start.
   auto last_leader_contact() const -> instant { return last_leader_contact_; }
--- a/src/control_settings.cpp
+++ b/src/control_settings.cpp
@@ -1,7 +1,17 @@
 #include "control_settings.hpp"
 
+#include <iostream>
+
 namespace pollenloft {
 
+namespace {
+
+/// Share of the link that bulk transfers may use; replication and heartbeats
+/// need the rest.
+constexpr double bulk_link_share = 0.5;
+
+}  // namespace
+
 auto control_settings() -> const std::vector<setting>& {
   static const std::vector<setting> known_settings{
       {"id", "0", number_range{0, UINT32_MAX},
@@ -39,4 +49,67 @@
   return known_settings;
 }
 
+auto validate_control_settings(const settings& values) -> bool {
+  auto valid = true;
+  const auto listed =
+      values.named_addresses("peers").count(values.text("id")) != 0;
+  if (values.address_list("seeds").empty() && !listed) {
+    std::cerr << "setting=id value=\"" << values.text("id")
+              << "\" allowed=\"a key of --peers, or --seeds\"\n";
+    valid = false;
+  }
+  if (2 * values.millis("election-ms") > values.millis("lease-ms")) {
+    std::cerr << "setting=election-ms value=\"" << values.text("election-ms")
+              << "\" allowed=\"at most half of lease-ms\"\n";
+    valid = false;
+  }
+  return valid;
+}
+
+auto own_replica_id(const settings& values) -> replica_id {
+  const auto id = static_cast<replica_id>(values.number("id"));
+  return id != 0 ? id : ipv4_number(values.address("listen").host);
+}
+
+auto bulk_bytes_per_second(const settings& values) -> double {
+  constexpr double bytes_per_megabit = 1e6 / 8;
+  return bulk_link_share * bytes_per_megabit * values.decimal("link-mbps");
+}
+
+auto replica_ids(const std::vector<socket_address>& addresses)
+    -> std::vector<replica_id> {
+  std::vector<replica_id> ids;
+  for (const auto& address : addresses)
+    ids.push_back(ipv4_number(address.host));
+  return ids;
+}
+
+auto make_membership_options(const settings& values) -> membership_options {
+  membership_options options;
+  options.id = own_replica_id(values);
+  options.seeds = replica_ids(values.address_list("seeds"));
+  options.full_size =
+      static_cast<std::size_t>(2 * values.number("tolerate-losses") + 1);
+  return options;
+}
+
+auto make_replica_options(const settings& values) -> replica_options {
+  replica_options options;
+  options.id = own_replica_id(values);
+  options.members = replica_ids(values.address_list("seeds"));
+  options.min_copies =
+      static_cast<std::size_t>(values.number("tolerate-losses")) + 1;
+  options.allow_bootstrap = values.flag("bootstrap");
+  for (const auto& [id, address] : values.named_addresses("peers"))
+    options.members.push_back(
+        static_cast<replica_id>(parse_number(id).value_or(0)));
+  options.heartbeat = values.millis("heartbeat-ms");
+  options.election_min = values.millis("election-ms");
+  options.election_max = 2 * options.election_min;
+  options.resend_after = options.election_max;
+  options.seed = static_cast<std::uint64_t>(
+      boottime_clock::now().time_since_epoch().count());
+  return options;
+}
+
 }  // namespace pollenloft
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -3,6 +3,7 @@
 /// configuration leases to entry VMs and keeps the endpoint directory.
 #include <signal.h>
 
+#include <array>
 #include <cmath>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -58,9 +59,6 @@
 constexpr auto state_wait_timeout = milliseconds(150);
 /// Least time between two lists of suspects.
 constexpr auto suspects_publish_interval = milliseconds(200);
-/// Share of the link that bulk transfers may use; replication and heartbeats
-/// need the rest.
-constexpr double bulk_link_share = 0.5;
 /// Unit of `endpoint_record::request_limit`, per request a second.
 constexpr double limit_record_unit = 1000;
 /// Changes of a limit by less than 1/8 are not published.
@@ -96,10 +94,10 @@
         disk_(std::move(disk)),
         peers_(values.named_addresses("peers")),
         listen_(values.address("listen")),
-        id_(own_id(values)),
+        id_(own_replica_id(values)),
         leases_(values.millis("lease-ms")),
         lease_wait_disabled_(values.text("switch-off") == "lease-wait"),
-        replica_(make_options(values), disk_.take_persisted_state(),
+        replica_(make_replica_options(values), disk_.take_persisted_state(),
                  boottime_clock::now()),
         group_(replica_, make_membership_options(values)),
         directory_store_(disk_, directory_),
@@ -135,6 +133,8 @@
                {"unacknowledged_changes", unacknowledged_changes()},
                {"queued_replies", pacer_.queued()}});
     replica_.transfer_leadership(boottime_clock::now());
+    group_.announce_stop();
+    carry_out_membership();
     flush();
     stop_timer_ = loop_.after(hand_over_time, [this] {
       answer_pending();
@@ -150,7 +150,7 @@
   auto failed() const -> bool { return failed_; }
 
   auto set_seeds(const std::vector<socket_address>& seeds) -> void {
-    group_.set_seeds(ids_of(seeds));
+    group_.set_seeds(replica_ids(seeds));
   }
 
   // control_host
@@ -244,53 +244,6 @@
     instant due;
   };
 
-  static auto own_id(const settings& values) -> replica_id {
-    const auto id = static_cast<replica_id>(values.number("id"));
-    return id != 0 ? id : ipv4_number(values.address("listen").host);
-  }
-
-  static auto bulk_bytes_per_second(const settings& values) -> double {
-    constexpr double bytes_per_megabit = 1e6 / 8;
-    return bulk_link_share * bytes_per_megabit * values.decimal("link-mbps");
-  }
-
-  static auto ids_of(const std::vector<socket_address>& addresses)
-      -> std::vector<replica_id> {
-    std::vector<replica_id> ids;
-    for (const auto& address : addresses)
-      ids.push_back(ipv4_number(address.host));
-    return ids;
-  }
-
-  static auto make_membership_options(const settings& values)
-      -> membership_options {
-    membership_options options;
-    options.id = own_id(values);
-    options.seeds = ids_of(values.address_list("seeds"));
-    options.full_size =
-        static_cast<std::size_t>(2 * values.number("tolerate-losses") + 1);
-    return options;
-  }
-
-  static auto make_options(const settings& values) -> replica_options {
-    replica_options options;
-    options.id = own_id(values);
-    options.members = ids_of(values.address_list("seeds"));
-    options.min_copies =
-        static_cast<std::size_t>(values.number("tolerate-losses")) + 1;
-    options.allow_bootstrap = values.flag("bootstrap");
-    for (const auto& [id, address] : values.named_addresses("peers"))
-      options.members.push_back(
-          static_cast<replica_id>(parse_number(id).value_or(0)));
-    options.heartbeat = values.millis("heartbeat-ms");
-    options.election_min = values.millis("election-ms");
-    options.election_max = 2 * options.election_min;
-    options.resend_after = options.election_max;
-    options.seed = static_cast<std::uint64_t>(
-        boottime_clock::now().time_since_epoch().count());
-    return options;
-  }
-
   /// Replicas that are not in --peers are numbered by their IPv4 address.
   auto peer_address(replica_id id) const -> std::optional<socket_address> {
     const auto found = peers_.find(std::to_string(id));
@@ -499,7 +452,8 @@
       drop_links_of_removed_members();
       share_task_.schedule();
     }
-    tick_membership(now);
+    group_.tick(now);
+    carry_out_membership();
     publish_suspects(now);
     reply_to_renewals(now);
     reply_to_state_requests(now);
@@ -707,36 +661,60 @@
 
   // --- membership --------------------------------------------------------
 
-  auto tick_membership(instant now) -> void {
-    group_.tick(now);
-    carry_out_membership();
+  /// The replies to both calls carry nothing: a replica learns of its
+  /// membership from the log.
+  auto handle_join(const exchange_ptr& call) -> void {
+    if (const auto request = decode_body<wire::join_request>(call))
+      receive_membership(call,
+                         join_request{static_cast<replica_id>(request->id),
+                                      request->forwarded});
   }
 
-  /// The reply carries nothing: the replica learns of its membership from the
-  /// log.
-  auto handle_join(const exchange_ptr& call) -> void {
-    const auto request = decode_body<wire::join_request>(call);
-    if (!request) return;
+  auto handle_stop_notice(const exchange_ptr& call) -> void {
+    if (const auto notice = decode_body<wire::stop_notice>(call))
+      receive_membership(call,
+                         stop_notice{static_cast<replica_id>(notice->id)});
+  }
+
+  template <class Message>
+  auto receive_membership(const exchange_ptr& call, const Message& message)
+      -> void {
     call->reply(200, {}, "");
-    group_.receive(
-        join_request{static_cast<replica_id>(request->id), request->forwarded},
-        boottime_clock::now());
+    group_.receive(message, boottime_clock::now());
     carry_out_membership();
   }
 
   auto carry_out_membership() -> void {
-    for (const auto& message : group_.take_messages()) {
-      wire::join_request request;
-      request.id = static_cast<std::int32_t>(message.body.id);
-      request.forwarded = message.body.forwarded;
-      post_to(message.to, "/peer/join", encode_wire(request));
-    }
-    for (const auto& change : group_.take_changes()) {
-      log_event(log_level::info,
-                change.added ? "member.added" : "member.removed",
-                {{"id", change.id}, {"address", ipv4_text(change.id)}});
-      flush_task_.schedule();
-    }
+    for (const auto& message : group_.take_messages())
+      std::visit([&](const auto& body) { send_membership(message.to, body); },
+                 message.body);
+    for (const auto& event : group_.take_events())
+      log_member_event(event);
+  }
+
+  auto send_membership(replica_id to, const join_request& from) -> void {
+    wire::join_request request;
+    request.id = static_cast<std::int32_t>(from.id);
+    request.forwarded = from.forwarded;
+    post_to(to, "/peer/join", encode_wire(request));
+  }
+
+  auto send_membership(replica_id to, const stop_notice& from) -> void {
+    wire::stop_notice notice;
+    notice.id = static_cast<std::int32_t>(from.id);
+    post_to(to, "/peer/stop", encode_wire(notice));
+  }
+
+  static auto log_member_event(const member_event& event) -> void {
+    static constexpr std::array<const char*, 3> names{
+        "member.added", "member.removed", "member.absent"};
+    log_event(
+        log_level::info, names.at(static_cast<std::size_t>(event.what)),
+        {{"id", event.id},
+         {"address", ipv4_text(event.id)},
+         {"silence_ms",
+          std::chrono::duration_cast<milliseconds>(event.silence).count()},
+         {"stopping", event.stopping}});
   }
 
   auto handle_directory(const exchange_ptr& call) -> void {
@@ -758,6 +736,7 @@
     if (post && path == "/peer") return handle_messages(call);
     if (post && path == "/peer/part") return handle_part(call);
     if (post && path == "/peer/join") return handle_join(call);
+    if (post && path == "/peer/stop") return handle_stop_notice(call);
     if (post && path == "/peer/directory") return handle_directory(call);
     if (post && path == "/control/renew") return handle_renewal(call);
     if (post && path == state_transfer_path) return handle_state_request(call);
@@ -1464,29 +1443,12 @@
   instant last_tick_{};
 };
 
-auto validate_combinations(const settings& values) -> bool {
-  auto valid = true;
-  const auto listed =
-      values.named_addresses("peers").count(values.text("id")) != 0;
-  if (values.address_list("seeds").empty() && !listed) {
-    std::cerr << "setting=id value=\"" << values.text("id")
-              << "\" allowed=\"a key of --peers, or --seeds\"\n";
-    valid = false;
-  }
-  if (2 * values.millis("election-ms") > values.millis("lease-ms")) {
-    std::cerr << "setting=election-ms value=\"" << values.text("election-ms")
-              << "\" allowed=\"at most half of lease-ms\"\n";
-    valid = false;
-  }
-  return valid;
-}
-
 auto run(int argc, char** argv) -> int {
   auto parsed = parse_settings("pollenloft-controld [settings]",
                                control_settings(), argc, argv);
   if (auto* code = std::get_if<int>(&parsed)) return *code;
   const auto& values = std::get<settings>(parsed);
-  if (!validate_combinations(values)) return 2;
+  if (!validate_control_settings(values)) return 2;
   start_logging("controld-" + values.text("id"), values.text("log-level"));
   auto disk = journal::open(values.text("data"));
   if (!disk) {
--- a/src/replica.cpp
+++ b/src/replica.cpp
@@ -1,45 +1,17 @@
 #include "pollenloft/replica.hpp"
 
 #include <algorithm>
-#include <sstream>
 #include <utility>
 
 namespace pollenloft {
 
 namespace {
 
-auto encode_members(const std::vector<replica_id>& members) -> std::string {
-  std::string text;
-  for (auto id : members) {
-    if (!text.empty()) text += ',';
-    text += std::to_string(id);
-  }
-  return text;
-}
-
-auto decode_members(const std::string& text) -> std::vector<replica_id> {
-  std::vector<replica_id> members;
-  std::istringstream in(text);
-  for (std::string part; std::getline(in, part, ',');)
-    members.push_back(static_cast<replica_id>(parse_number(part).value_or(0)));
-  return members;
-}
-
 /// Size assumed for an entry's fields other than its data.
 constexpr std::size_t entry_overhead_bytes = 32;
 /// Heartbeat rounds whose send times are kept for the leader lease.
 constexpr std::size_t max_tracked_rounds = 64;
 
-auto differ_by_one(std::vector<replica_id> a, std::vector<replica_id> b)
-    -> bool {
-  std::sort(a.begin(), a.end());
-  std::sort(b.begin(), b.end());
-  std::vector<replica_id> difference;
-  std::set_symmetric_difference(a.begin(), a.end(), b.begin(), b.end(),
-                                std::back_inserter(difference));
-  return difference.size() == 1;
-}
-
 }  // namespace
 
 auto replica_effects::empty() const -> bool {
@@ -85,10 +57,6 @@
   return entry != nullptr ? entry->term : 0;
 }
 
-auto replica::is_member(replica_id id) const -> bool {
-  return std::find(members_.begin(), members_.end(), id) != members_.end();
-}
-
 auto replica::required_copies() const -> std::size_t {
   return std::max(majority(), std::min(options_.min_copies, members_.size()));
 }
@@ -138,17 +106,6 @@
   recompute_members();
 }
 
-auto replica::recompute_members() -> void {
-  members_ = snapshot_.members.empty() ? options_.members : snapshot_.members;
-  for (const auto& entry : log_)
-    if (entry.kind == entry_kind::members)
-      members_ = decode_members(entry.data);
-  if (role_ != replica_role::leader) return;
-  for (auto id : members_)
-    if (id != options_.id && progress_.count(id) == 0)
-      progress_[id].next = last_index();
-}
-
 auto replica::reset_election_timer(instant now) -> void {
   const auto spread = options_.election_max - options_.election_min;
   const auto jitter =
@@ -202,19 +159,6 @@
            vote_request{pre, last_index(), term_at(last_index()), transfer});
 }
 
-auto replica::send_recover_requests(instant now) -> void {
-  if (now < heartbeat_due_) return;
-  heartbeat_due_ = now + options_.heartbeat;
-  for (auto id : members_)
-    if (id != options_.id) send(id, recover_request{nonce_});
-  if (members_.size() > 1 || !options_.allow_bootstrap ||
-      !is_member(options_.id))
-    return;
-  hard_state_.voting = true;
-  persist_hard_state();
-  role_ = replica_role::follower;
-}
-
 auto replica::tick(instant now) -> void {
   if (role_ == replica_role::recovering) return send_recover_requests(now);
   if (role_ != replica_role::leader) {
@@ -243,24 +187,6 @@
   return first;
 }
 
-auto replica::propose_members(const std::vector<replica_id>& members,
-                              instant now) -> std::optional<log_index> {
-  const auto peer = std::to_string(options_.id);
-  if (!has_committed_in_term())
-    return fail("replica.members", peer, "not the leader");
-  if (!differ_by_one(members, members_))
-    return fail("replica.members", peer,
-                "the list must differ from the current one by one replica");
-  for (auto index = commit_ + 1; index <= last_index(); ++index)
-    if (entry_at(index)->kind == entry_kind::members)
-      return fail("replica.members", peer, "an earlier change is under way");
-  append_entry({hard_state_.term, last_index() + 1, entry_kind::members,
-                encode_members(members)});
-  broadcast(now);
-  advance_commit();
-  return last_index();
-}
-
 auto replica::compact(log_index index, std::string data)
     -> const log_snapshot& {
   if (index <= snapshot_.index || index > commit_) return snapshot_;
@@ -269,23 +195,13 @@
   const auto term = term_at(index);
   while (!log_.empty() && log_.front().index <= index) {
     if (log_.front().kind == entry_kind::members)
-      members = decode_members(log_.front().data);
+      members = detail::decode_members(log_.front().data);
     log_.pop_front();
   }
   snapshot_ = {index, term, std::move(members), std::move(data)};
   return snapshot_;
 }
 
-auto replica::transfer_leadership(instant now) -> void {
-  if (role_ != replica_role::leader || progress_.empty()) return;
-  const auto best = std::max_element(progress_.begin(), progress_.end(),
-                                     [](const auto& a, const auto& b) {
-                                       return a.second.match < b.second.match;
-                                     });
-  send(best->first, timeout_now_request{});
-  become_follower(hard_state_.term, 0, now);
-}
-
 auto replica::broadcast(instant now) -> void {
   heartbeat_due_ = now + options_.heartbeat;
   ++round_;
@@ -547,63 +463,6 @@
   send(message.from, append_reply{true, snapshot.index, request.round});
 }
 
-auto replica::handle(const recover_request& request,
-                     const replica_message& message, instant /*now*/) -> void {
-  const auto fresh = hard_state_.term == 0 && last_index() == 0;
-  // A replica that is recovering itself knows nothing reliable, except that it
-  // has never been used.
-  if (!hard_state_.voting && !fresh) return;
-  send(message.from, recover_reply{request.nonce, fresh, members_, commit_});
-}
-
-auto replica::handle(const recover_reply& reply, const replica_message& message,
-                     instant now) -> void {
-  if (role_ != replica_role::recovering || reply.nonce != nonce_) return;
-  recovery_replies_[message.from] = reply;
-  recovery_terms_[message.from] = message.term;
-  adopt_reported_members();
-  std::size_t with_state = 0;
-  std::size_t fresh = 0;
-  log_term highest_term = 0;
-  for (const auto& [id, answer] : recovery_replies_) {
-    if (!is_member(id)) continue;
-    fresh += answer.fresh ? 1 : 0;
-    with_state += answer.fresh ? 0 : 1;
-    highest_term = std::max(highest_term, recovery_terms_[id]);
-  }
-  if (options_.allow_bootstrap && is_member(options_.id) &&
-      fresh + 1 == members_.size()) {
-    hard_state_.voting = true;  // all disks are empty: form a new cluster
-    persist_hard_state();
-    role_ = replica_role::follower;
-    return reset_election_timer(now);
-  }
-  if (with_state < majority()) return;
-  hard_state_.term = highest_term;
-  persist_hard_state();
-  role_ = replica_role::follower;
-  reset_election_timer(now);
-}
-
-/// The configured member list may be outdated, so the list of the reply with
-/// the highest commit index replaces it.
-auto replica::adopt_reported_members() -> void {
-  const recover_reply* best = nullptr;
-  for (const auto& [id, reply] : recovery_replies_)
-    if (!reply.fresh &&
-        (best == nullptr || reply.commit_index > best->commit_index))
-      best = &reply;
-  if (best != nullptr && !best->members.empty()) members_ = best->members;
-}
-
-/// Entries after `match` may conflict with the leader's log.
-auto replica::finish_recovery(log_index match, log_index leader_last_index)
-    -> void {
-  if (hard_state_.voting || match < leader_last_index) return;
-  hard_state_.voting = true;
-  persist_hard_state();
-}
-
 auto replica::handle(const timeout_now_request& /*request*/,
                      const replica_message& message, instant now) -> void {
   if (message.term != hard_state_.term || !hard_state_.voting) return;
--- a/support/pollenloft.thrift
+++ b/support/pollenloft.thrift
@@ -56,10 +56,17 @@
   1: i64 number, 2: string text, 3: i64 at_ms, 4: binary packed
 }
 
+// An endpoint has announced that it leaves, or has left: `state` of its process
+// `incarnation`, and of earlier ones. An endpoint that no control VM knows has an
+// empty incarnation.
+struct departure_command {
+  1: string id, 2: string incarnation, 3: i8 state, 4: i64 at_ms
+}
+
 union command {
   1: patch_command patch, 2: claim_record claim, 3: settle_command settle,
   4: abandon_command abandon, 5: blame_command blame,
-  6: document_command document
+  6: document_command document, 7: departure_command departure
 }
 
 struct audit_record {
@@ -82,7 +89,8 @@
   1: i64 version, 2: string configuration, 3: list<version_record> tail,
   4: list<patch_result> results, 5: list<audit_record> audit,
   6: list<claim_record> claims, 7: list<blame_record> blames,
-  8: i64 document, 9: string document_text
+  8: i64 document, 9: string document_text,
+  10: list<departure_command> departures
 }
 
 // A record of the endpoint directory. Reports of one incarnation are ordered by
@@ -200,6 +208,12 @@
 // A control VM that is not a member, or may be none any more, asks to become
 // one. A receiver that does not lead sends it on, `forwarded`.
 struct join_request { 1: i32 id, 2: bool forwarded }
+// A control VM is about to stop, for a restart or for good.
+struct stop_notice { 1: i32 id }
+
+// Asks the leader to record departures in the log; accepted once they are.
+struct departure_request { 1: list<departure_command> departures }
+struct departure_reply { 1: bool accepted, 2: string leader }
 
 // A part of a message between control replicas that is too large for one call.
 // `path` is that of the complete message, `total` its size and `digest` its
--- a/test/fake_group.hpp
+++ b/test/fake_group.hpp
@@ -16,6 +16,7 @@
 class fake_group {
  public:
   static constexpr auto catch_up = std::chrono::seconds(4);
+  static constexpr auto list_lag = std::chrono::seconds(3);
   static constexpr std::size_t spares = 4;
 
   /// A group that tolerates the loss of `losses` VMs, with three seeds.
@@ -31,6 +32,8 @@
       make_group(i);
     for (auto i = full_size_; i < gone_.size(); ++i)
       gone_[i] = true;
+    for (const auto i : present())
+      listed_.push_back(static_cast<replica_id>(i + 1));
     run_for(milliseconds(5000));
   }
 
@@ -86,16 +89,17 @@
   /// A VM is gone for good; its successor starts after `delay`.
   auto replace(std::size_t i, duration delay) -> void {
     const auto loss = begin_loss();
+    const auto successor = next_spare_++;
     lose_for_good(i);
-    at(delay, [this, loss] {
-      start_spare();
+    at(delay, [this, successor, loss] {
+      start_spare(successor);
       end_loss(loss);
     });
   }
   /// The successor starts first; after `delay` the VM stops and exits.
   auto replace_planned(std::size_t i, duration delay) -> void {
     const auto loss = begin_loss();
-    start_spare();
+    start_spare(next_spare_++);
     end_loss(loss);
     at(delay, [this, i] {
       stop(i);
@@ -115,18 +119,19 @@
   auto stop(std::size_t i) -> void {
     if (!runs(i)) return;
     cluster.at(i).live->transfer_leadership(cluster.now);
+    groups_[i]->announce_stop();
+    post(i);
     cluster.carry_out(i);
   }
 
+  /// Writes the settings of the next start again, with other seeds from the
+  /// operator's list.
   auto exchange_seeds() -> void {
-    std::vector<replica_id> seeds;
-    for (const auto i : present())
-      seeds.push_back(static_cast<replica_id>(i + 1));
-    while (seeds.size() > 3)
-      seeds.erase(seeds.begin() +
-                  static_cast<std::ptrdiff_t>(random_.below(seeds.size())));
-    cluster.set_seeds(seeds);
-    seeds_ = std::move(seeds);
+    seeds_ = listed_;
+    while (seeds_.size() > 3)
+      seeds_.erase(seeds_.begin() +
+                   static_cast<std::ptrdiff_t>(random_.below(seeds_.size())));
+    cluster.set_seeds(seeds_);
   }
 
   // --- observations -------------------------------------------------------
@@ -218,16 +223,30 @@
   }
   auto start(std::size_t i) -> void {
     if (gone_[i] || cluster.at(i).live) return;
+    if (std::none_of(seeds_.begin(), seeds_.end(),
+                     [&](auto id) { return !gone_[id - 1] && id != i + 1; }))
+      exchange_seeds();
     cluster.start(i);
     make_group(i);
   }
-  auto start_spare() -> void {
-    gone_[next_spare_] = false;
-    start(next_spare_++);
+  auto start_spare(std::size_t i) -> void {
+    gone_[i] = false;
+    exchange_seeds();
+    start(i);
+    update_list();
+  }
+  /// The operator's list of VMs follows later.
+  auto update_list() -> void {
+    at(list_lag, [this] {
+      listed_.clear();
+      for (const auto i : present())
+        listed_.push_back(static_cast<replica_id>(i + 1));
+    });
   }
   auto lose_for_good(std::size_t i) -> void {
     cluster.crash(i);
     gone_[i] = true;
+    update_list();
   }
 
   auto post(std::size_t i) -> void {
@@ -239,7 +258,9 @@
     for (const auto& message : std::exchange(requests_, {})) {
       const auto to = message.to - 1;
       if (!runs(to) || cluster.at(to).partitioned) continue;
-      groups_[to]->receive(message.body, cluster.now);
+      std::visit(
+          [&](const auto& body) { groups_[to]->receive(body, cluster.now); },
+          message.body);
       post(to);
     }
   }
@@ -256,6 +277,7 @@
   std::vector<bool> gone_;
   std::size_t next_spare_;
   std::vector<replica_id> seeds_{1, 2, 3};
+  std::vector<replica_id> listed_;  // VMs, as the operator's list has them
   std::vector<instant> until_;  // ends of the losses
   std::multimap<instant, std::function<void()>> agenda_;
   std::vector<membership_message> requests_;
--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -56,6 +56,8 @@
   CPPUNIT_TEST(member_removed_while_cut_off_joins_again);
   CPPUNIT_TEST(gone_member_is_replaced_within_catch_up);
   CPPUNIT_TEST(gone_leader_is_replaced_within_catch_up);
+  CPPUNIT_TEST(stopped_member_leaves_no_gap);
+  CPPUNIT_TEST(successor_lost_with_another_disk);
   CPPUNIT_TEST(any_history_leaves_a_full_group);
   CPPUNIT_TEST_SUITE_END();
 
@@ -75,7 +77,7 @@
       group.cut((leader + 1) % 5, milliseconds(7800));
       group.run_for(milliseconds(2800));
       group.replace_planned(leader, milliseconds(3500));
-      group.run_for(seconds(24));
+      group.wait_until_none_is_lost();
       CPPUNIT_ASSERT_EQUAL(std::size_t{5}, group.live_members());
       CPPUNIT_ASSERT(group.survives_lost_disks());
     }
@@ -103,6 +105,39 @@
     }
   }
 
+  /// Its successor is up to date before it stops, so all losses are allowed as
+  /// soon as it has exited.
+  auto stopped_member_leaves_no_gap() -> void {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      fake_group group(2, seed);
+      const auto offset = static_cast<std::size_t>(seed % 2);
+      group.replace_planned((*group.cluster.leader() + offset) % 5, seconds(5));
+      group.run_for(milliseconds(5310));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{5}, group.live_members());
+      CPPUNIT_ASSERT(group.survives_lost_disks());
+    }
+  }
+
+  /// A successor that is added before the gone member is removed raises the
+  /// majority to four of six.
+  auto successor_lost_with_another_disk() -> void {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      fake_group group(2, seed);
+      const auto leader = *group.cluster.leader();
+      group.replace((leader + 1) % 5, seconds(1));
+      const auto& members = group.cluster.at(leader).live->members();
+      for (int i = 0; i < 500 && members.size() == 5 &&
+                      !group.cluster.at(leader).live->is_member(6);
+           ++i)
+        group.run_for(milliseconds(10));
+      group.cluster.network.clear();
+      group.restart(5, milliseconds(500), true);
+      group.restart((leader + 2) % 5, milliseconds(500), true);
+      group.wait_until_none_is_lost();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{5}, group.live_members());
+    }
+  }
+
   auto any_history_leaves_a_full_group() -> void {
     const auto* count = std::getenv("POLLENLOFT_HISTORIES");
     const auto histories = count == nullptr ? 150 : std::stoul(count);
