Save the endpoint directory again after a failed write

directory_store_test::failed_save_is_not_tried_again; without the change the file doesn't exist 2 s after there was room again (by reading: the signature equals).

--- a/src/directory_store.cpp
+++ b/src/directory_store.cpp
@@ -19,6 +19,8 @@
 /// least this many times as long, so that saving takes at most 1/50 of the
 /// time.
 constexpr int save_interval_factor = 50;
+/// Makes the next tick look for changes again.
+constexpr std::int64_t unchecked_sequence = -1;
 
 }  // namespace
 
@@ -68,9 +70,11 @@
   checked_sequence_ = directory_.sequence();
   const auto current = signature();
   if (current == saved_signature_ && !due) return;
-  saved_signature_ = current;
   saved_at_ = now;
-  save(wall);
+  if (save(wall))
+    saved_signature_ = current;
+  else
+    checked_sequence_ = unchecked_sequence;
 }
 
 auto directory_store::save_changes(milliseconds wall) -> void {
@@ -80,7 +84,7 @@
   if (std::exchange(saved_signature_, current) != current) save(wall);
 }
 
-auto directory_store::save(milliseconds wall) -> void {
+auto directory_store::save(milliseconds wall) -> bool {
   wire::saved_directory saved;
   saved.at_ms = wall.count();
   for (const auto& [id, record] : directory_.records())
@@ -91,6 +95,7 @@
       min_save_interval,
       save_interval_factor * (boottime_clock::now() - start));
   if (!stored) log_failure("endpoints.not_saved", last_error());
+  return stored.has_value();
 }
 
 }  // namespace pollenloft
--- a/src/directory_store.hpp
+++ b/src/directory_store.hpp
@@ -24,15 +24,14 @@
   /// there are none, the file is too old or it cannot be read.
   auto restore(milliseconds wall) -> std::size_t;
   /// Saves the directory if it has changed, at intervals that follow the
-  /// duration of a save. A failed save is tried again with the next change or
-  /// refresh.
+  /// duration of a save. A failed save is tried again after that interval.
   auto tick(instant now, milliseconds wall) -> void;
   /// Saves what has changed since the last save, at the end of the process.
   auto save_changes(milliseconds wall) -> void;
 
  private:
   auto signature() const -> std::uint64_t;
-  auto save(milliseconds wall) -> void;
+  auto save(milliseconds wall) -> bool;
 
   journal& disk_;
   endpoint_directory& directory_;
--- a/test/directory_store_test.cpp
+++ b/test/directory_store_test.cpp
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(load_change_is_not_saved);
   CPPUNIT_TEST(change_before_the_end_of_the_process_is_not_saved);
   CPPUNIT_TEST(restored_record_is_replaced_by_a_later_incarnation);
+  CPPUNIT_TEST(failed_save_is_not_tried_again);
   CPPUNIT_TEST_SUITE_END();
 
   fs::path folder_;
@@ -135,6 +136,20 @@
     known.merge({restarted});
     CPPUNIT_ASSERT_EQUAL(0, known.records().at("a").last_layer);
   }
+
+  /// A full disk refuses the write; here a folder has the file's name.
+  auto failed_save_is_not_tried_again() -> void {
+    auto disk = journal::open(folder_);
+    fs::create_directories(folder_ / "endpoints.new");
+    endpoint_directory directory;
+    directory_store store(*disk, directory);
+    directory.merge({runner("a")});
+    store.tick(now_, saved_at);
+    CPPUNIT_ASSERT(!fs::exists(folder_ / "endpoints"));
+    fs::remove(folder_ / "endpoints.new");
+    store.tick(now_ + std::chrono::seconds(2), saved_at);
+    CPPUNIT_ASSERT(fs::exists(folder_ / "endpoints"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(directory_store_test);
