Bound the bytes of all responses that a VM holds

Reported by other operators: a faulty endpoint sent bytes without end, and the VM that had called it ran out of memory.

Change: http_client has a budget for all responses together (response_budget, 32 MB by default, one client an entry VM for endpoints, relays and control VMs).

Not bounded yet: unread answers of slow callers, request bodies that are kept.

--- a/include/pollenloft/net.hpp
+++ b/include/pollenloft/net.hpp
@@ -288,16 +288,26 @@
 };
 using pending_call_ptr = std::shared_ptr<pending_call>;
 
+/// Bytes of responses that one client holds by default. It keeps a process with
+/// 160 MB within its memory, with the copies that leave to callers.
+inline constexpr std::size_t default_max_response_bytes = 32 * 1024 * 1024;
+
 /// Sends HTTP requests. It never retries a request.
 class http_client {
  public:
-  explicit http_client(event_loop& loop);
+  struct receiver;
+  /// While the client holds more than `max_response_bytes` of all responses
+  /// together, it reads no further from the peers that sent most. A response
+  /// that has waited so for 1 s may end as `call_interrupted`.
+  explicit http_client(event_loop& loop, std::size_t max_response_bytes =
+                                             default_max_response_bytes);
   ~http_client();
   http_client(const http_client&) = delete;
   auto operator=(const http_client&) -> http_client& = delete;
 
   /// Starts a call. Destroying the returned pointer does not cancel it.
   auto send(const http_call& call, call_handlers handlers) -> pending_call_ptr;
+  auto held_response_bytes() const -> std::size_t;
 
  private:
   struct impl;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "net_detail.hpp"
+#include "response_budget.hpp"
 
 namespace pollenloft {
 
@@ -79,6 +80,35 @@
                                                      : body_end::length;
 }
 
+/// The responses that a client is receiving, and their budget.
+struct http_client::receiver : std::enable_shared_from_this<receiver> {
+  receiver(event_loop& loop, std::size_t max_bytes)
+      : loop(loop), budget(max_bytes) {}
+
+  auto add(std::shared_ptr<pending_call::impl> call) -> std::uint64_t {
+    calls[++last_id] = std::move(call);
+    return last_id;
+  }
+  auto remove(std::uint64_t id) -> void {
+    budget.remove(id);
+    calls.erase(id);
+  }
+  auto update(std::uint64_t id, const std::string& peer, std::size_t held)
+      -> void {
+    budget.update(id, peer, held);
+    if (!budget.needs_decisions() || std::exchange(posted, true)) return;
+    loop.post([self = shared_from_this()] { self->decide(); });
+  }
+  auto decide() -> void;
+
+  event_loop& loop;
+  response_budget budget;
+  std::map<std::uint64_t, std::shared_ptr<pending_call::impl>> calls;
+  std::uint64_t last_id = 0;
+  bool posted = false;
+  timer decide_timer;  // while responses wait
+};
+
 struct pending_call::impl {
   event_loop& loop;
   evhttp_connection* connection = nullptr;
@@ -97,7 +127,9 @@
   response_limits limits;
   evbuffer_cb_entry* input_watch = nullptr;
   const char* rejection = nullptr;  // of the response, by this client
-  std::shared_ptr<impl> self;       // keeps the state alive until released
+  std::shared_ptr<http_client::receiver> receiver;
+  std::uint64_t receiver_id = 0;
+  std::shared_ptr<impl> self;  // keeps the state alive until released
   sigc::slot<void(evhttp_connection*)> return_to_pool;
 
   explicit impl(event_loop& loop) : loop(loop) {}
@@ -109,6 +141,7 @@
     timeout_timer = timer();
     connect_timer = timer();
     evbuffer_remove_cb_entry(input(), input_watch);
+    receiver->remove(receiver_id);
     // evhttp still uses the connection while its callback runs.
     loop.post([state = std::move(self), keep_connection] {
       if (keep_connection)
@@ -156,6 +189,20 @@
            evbuffer_get_length(input());
   }
 
+  auto held_bytes() const -> std::size_t {
+    return received_bytes() + error_body.size();
+  }
+
+  auto carry_out(budget_action action) -> void {
+    auto* stream = evhttp_connection_get_bufferevent(connection);
+    if (action == budget_action::pause)
+      bufferevent_disable(stream, EV_READ);
+    else if (action == budget_action::resume)
+      bufferevent_enable(stream, EV_READ);
+    else
+      interrupt_oversized();
+  }
+
   /// evhttp limits the header and the sum of all chunks, but neither the line
   /// that begins a chunk nor, in a stream of any length, a chunk.
   auto apply_limits() -> void {
@@ -170,6 +217,7 @@
   static auto on_input(evbuffer* buffer, const evbuffer_cb_info* change,
                        void* arg) -> void {
     auto* self = static_cast<impl*>(arg);
+    self->receiver->update(self->receiver_id, self->peer, self->held_bytes());
     const auto limit = self->limits.header_bytes + self->limits.body_bytes;
     if (change->n_added == 0 || evbuffer_get_length(buffer) <= limit) return;
     // The bufferevent still reads.
@@ -288,10 +336,27 @@
   impl_->release(false);
 }
 
+auto http_client::receiver::decide() -> void {
+  constexpr auto decision_interval = milliseconds(50);
+  posted = false;
+  for (const auto& each : budget.decide(boottime_clock::now())) {
+    const auto found = calls.find(each.id);
+    if (found != calls.end())
+      std::shared_ptr(found->second)->carry_out(each.action);
+  }
+  decide_timer = budget.needs_decisions()
+                     ? loop.after(decision_interval, [this] { decide(); })
+                     : timer();
+}
+
 struct http_client::impl {
-  explicit impl(event_loop& loop) : loop(loop) {}
+  impl(event_loop& loop, std::size_t max_response_bytes)
+      : loop(loop),
+        receiver(std::make_shared<http_client::receiver>(loop,
+                                                         max_response_bytes)) {}
 
   event_loop& loop;
+  std::shared_ptr<http_client::receiver> receiver;
   std::map<std::string, std::vector<evhttp_connection*>> idle_by_peer;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
@@ -335,10 +400,14 @@
   }
 };
 
-http_client::http_client(event_loop& loop)
-    : impl_(std::make_unique<impl>(loop)) {}
+http_client::http_client(event_loop& loop, std::size_t max_response_bytes)
+    : impl_(std::make_unique<impl>(loop, max_response_bytes)) {}
 http_client::~http_client() = default;
 
+auto http_client::held_response_bytes() const -> std::size_t {
+  return impl_->receiver->budget.held_bytes();
+}
+
 auto http_client::send(const http_call& call, call_handlers handlers)
     -> pending_call_ptr {
   auto state = std::make_shared<pending_call::impl>(impl_->loop);
@@ -357,6 +426,8 @@
   };
   evhttp_connection_set_retries(state->connection, 0);
   state->limits = call.limits;
+  state->receiver = impl_->receiver;
+  state->receiver_id = impl_->receiver->add(state);
   state->apply_limits();
 
   auto* raw = state.get();
@@ -384,84 +455,4 @@
   return std::make_shared<pending_call>(state);
 }
 
-struct listener_prober::impl {
-  struct attempt {
-    impl* owner = nullptr;
-    std::string peer;
-    bufferevent* stream = nullptr;
-    std::vector<handler> handlers;
-    timer timeout;
-
-    attempt() = default;
-    attempt(const attempt&) = delete;
-    auto operator=(const attempt&) -> attempt& = delete;
-    ~attempt() {
-      if (stream != nullptr) bufferevent_free(stream);
-    }
-  };
-
-  explicit impl(event_loop& loop) : loop(loop) {}
-
-  auto finish(const std::string& peer, listener_state state) -> void {
-    const auto found = attempts.find(peer);
-    if (found == attempts.end()) return;
-    // libevent and the timer still use the attempt while their callback runs.
-    auto ended = std::shared_ptr<attempt>(std::move(found->second));
-    attempts.erase(found);
-    loop.post([ended] {});
-    for (const auto& done : std::exchange(ended->handlers, {}))
-      done(state);
-  }
-
-  static auto on_event(bufferevent* /*stream*/, short what, void* arg) -> void {
-    const auto* self = static_cast<attempt*>(arg);
-    const auto code = EVUTIL_SOCKET_ERROR();
-    // A reset follows an accepted connection.
-    const auto refused = code == ECONNREFUSED;
-    const auto state =
-        (what & BEV_EVENT_CONNECTED) != 0
-            ? listener_state::listening
-            : (refused ? listener_state::refused : listener_state::unknown);
-    self->owner->finish(self->peer, state);
-  }
-
-  auto connect(attempt& started, const socket_address& peer) -> bool {
-    sockaddr_in remote{};
-    remote.sin_family = AF_INET;
-    remote.sin_port = htons(peer.port);
-    remote.sin_addr.s_addr = htonl(ipv4_number(peer.host));
-    started.stream =
-        bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
-    bufferevent_setcb(started.stream, nullptr, nullptr, &on_event, &started);
-    return bufferevent_socket_connect(
-               started.stream,
-               reinterpret_cast<sockaddr*>(&remote),  // NOLINT
-               sizeof remote) == 0;
-  }
-
-  event_loop& loop;
-  std::map<std::string, std::unique_ptr<attempt>> attempts;  // by peer
-};
-
-listener_prober::listener_prober(event_loop& loop)
-    : impl_(std::make_unique<impl>(loop)) {}
-listener_prober::~listener_prober() = default;
-
-auto listener_prober::probe(const socket_address& peer, duration timeout,
-                            handler done) -> void {
-  const auto name = peer.text();
-  auto& current = impl_->attempts[name];
-  const auto is_new = !current;
-  if (is_new) current = std::make_unique<impl::attempt>();
-  current->handlers.push_back(std::move(done));
-  if (!is_new) return;
-  current->owner = impl_.get();
-  current->peer = name;
-  auto* state = impl_.get();
-  current->timeout = impl_->loop.after(
-      timeout, [state, name] { state->finish(name, listener_state::unknown); });
-  if (!impl_->connect(*current, peer))
-    impl_->finish(name, listener_state::unknown);
-}
-
 }  // namespace pollenloft
