--- a/test/fake_group.hpp
+++ b/test/fake_group.hpp
@@ -278,7 +278,7 @@
   std::size_t next_spare_;
   std::vector<replica_id> seeds_{1, 2, 3};
   std::vector<replica_id> listed_;  // VMs, as the operator's list has them
-  std::vector<instant> until_;  // ends of the losses
+  std::vector<instant> until_;      // ends of the losses
   std::multimap<instant, std::function<void()>> agenda_;
   std::vector<membership_message> requests_;
 };
