Let the oldest responses end while the others wait for the budget

Cause: 200 sound answers of 200 KB from one endpoint exceed the budget of 32 MB; all of them were paused alike, so none could end, and after 1 s 32 were rejected, to make room for the others.

Change: of the endpoints that hold more than an even part, the two oldest responses go on while the others wait. Such a response is rejected if it does not end within a second of that, or holds more than a quarter of the budget (8 MB).

Evidence: drain_test 5 of 5; response_budget_test 8 of 8, with sound_responses_of_one_peer_wait_for_each_other, which fails on the decisions before (by reading: all 40 paused, then rejected), and both cases with endless answers on sockets as before.

--- a/src/response_budget.cpp
+++ b/src/response_budget.cpp
@@ -7,8 +7,12 @@
 
 namespace {
 
-/// Time that a response may wait in all, for others to end.
-constexpr auto max_wait = std::chrono::seconds(1);
+/// Responses of large peers that go on while the others wait.
+constexpr std::size_t max_preferred = 2;
+/// Time in which such a response must end.
+constexpr auto max_preferred_time = std::chrono::seconds(1);
+/// Part of the budget that such a response may hold.
+constexpr std::size_t preferred_divisor = 4;
 
 }  // namespace
 
@@ -31,57 +35,54 @@
   of_peer->second -= entry.held;
   if (of_peer->second == 0) held_by_peer_.erase(of_peer);
   held_ -= entry.held;
-  if (entry.paused_at) --paused_;
+  if (entry.paused) --paused_;
   responses_.erase(found);
 }
 
 auto response_budget::decide(instant now) -> std::vector<budget_decision> {
   if (held_ <= max_bytes_) return resume_all(now);
-  auto decisions = pause_large_peers(now);
-  if (const auto id = find_excessive(now))
-    decisions.push_back({*id, budget_action::reject});
+  const auto share =
+      max_bytes_ / std::max<std::size_t>(held_by_peer_.size(), 1);
+  std::vector<budget_decision> decisions;
+  std::size_t preferred = 0;
+  for (auto& [id, entry] : responses_)
+    if (held_by_peer_.at(entry.peer) > share)
+      decide_for(entry, id, preferred++ < max_preferred, now, decisions);
   return decisions;
 }
 
-auto response_budget::resume_all(instant now) -> std::vector<budget_decision> {
-  std::vector<budget_decision> decisions;
-  for (auto& [id, entry] : responses_) {
-    if (!entry.paused_at) continue;
-    entry.waited += now - *entry.paused_at;
-    entry.paused_at.reset();
-    decisions.push_back({id, budget_action::resume});
-  }
-  paused_ = 0;
-  return decisions;
+auto response_budget::decide_for(response& entry, std::uint64_t id,
+                                 bool preferred, instant now,
+                                 std::vector<budget_decision>& decisions)
+    -> void {
+  set_paused(entry, id, !preferred, decisions);
+  if (!preferred) return;
+  if (!entry.preferred_since) entry.preferred_since = now;
+  const auto preferred_for =
+      entry.preferred_for + (now - *entry.preferred_since);
+  if (preferred_for >= max_preferred_time ||
+      entry.held > max_bytes_ / preferred_divisor)
+    decisions.push_back({id, budget_action::reject});
 }
 
-auto response_budget::pause_large_peers(instant now)
-    -> std::vector<budget_decision> {
-  const auto share =
-      max_bytes_ / std::max<std::size_t>(held_by_peer_.size(), 1);
+auto response_budget::set_paused(response& entry, std::uint64_t id, bool paused,
+                                 std::vector<budget_decision>& decisions)
+    -> void {
+  if (std::exchange(entry.paused, paused) == paused) return;
+  paused ? ++paused_ : --paused_;
+  decisions.push_back(
+      {id, paused ? budget_action::pause : budget_action::resume});
+}
+
+auto response_budget::resume_all(instant now) -> std::vector<budget_decision> {
   std::vector<budget_decision> decisions;
   for (auto& [id, entry] : responses_) {
-    if (entry.paused_at || held_by_peer_.at(entry.peer) <= share) continue;
-    entry.paused_at = now;
-    ++paused_;
-    decisions.push_back({id, budget_action::pause});
+    set_paused(entry, id, false, decisions);
+    if (!entry.preferred_since) continue;
+    entry.preferred_for += now - *entry.preferred_since;
+    entry.preferred_since.reset();
   }
   return decisions;
 }
 
-auto response_budget::find_excessive(instant now) const
-    -> std::optional<std::uint64_t> {
-  std::optional<std::uint64_t> found;
-  std::pair<std::size_t, std::size_t> most;
-  for (const auto& [id, entry] : responses_) {
-    const std::pair size(held_by_peer_.at(entry.peer), entry.held);
-    if (size < most) continue;
-    most = size;
-    const auto waits =
-        entry.paused_at && now - *entry.paused_at + entry.waited >= max_wait;
-    found = waits ? std::optional(id) : std::nullopt;
-  }
-  return found;
-}
-
 }  // namespace pollenloft
--- a/src/response_budget.hpp
+++ b/src/response_budget.hpp
@@ -1,7 +1,7 @@
 /// \file response_budget.hpp
 /// Bounds the bytes of all responses that a client holds at a moment. Reading
-/// waits before a response is rejected, and the peers that hold most wait
-/// first. Performs no I/O and reads no clock.
+/// waits before a response is rejected: only the oldest ones of the peers that
+/// hold most go on, so that they end. Performs no I/O and reads no clock.
 #ifndef POLLENLOFT_RESPONSE_BUDGET_HPP
 #define POLLENLOFT_RESPONSE_BUDGET_HPP
 
@@ -49,13 +49,16 @@
   struct response {
     std::string peer;
     std::size_t held = 0;
-    std::optional<instant> paused_at;
-    duration waited{};  // in earlier pauses
+    bool paused = false;
+    std::optional<instant> preferred_since;  // it reads while others wait
+    duration preferred_for{};                // before that
   };
 
   auto resume_all(instant now) -> std::vector<budget_decision>;
-  auto pause_large_peers(instant now) -> std::vector<budget_decision>;
-  auto find_excessive(instant now) const -> std::optional<std::uint64_t>;
+  auto decide_for(response& entry, std::uint64_t id, bool preferred,
+                  instant now, std::vector<budget_decision>& decisions) -> void;
+  auto set_paused(response& entry, std::uint64_t id, bool paused,
+                  std::vector<budget_decision>& decisions) -> void;
 
   std::size_t max_bytes_;
   std::map<std::uint64_t, response> responses_;
