Bound what all connections of a process hold

Callers that send many bodies and stop short of their end, that send without end or read nothing took an entry VM from 9 MB to 382 MB: evhttp bounds one request, and nothing bounded all of them, a chunk-size line, trailers of short fields, what follows a request that is being answered, or the connections.

Change: connection_budget decides for all servers of a process, from memory-mb and max-fds of the settings (new; deploy/*.conf take them from the platform): requests and responses that stall end first, large requests wait, idle connections close. A refused request has not reached a handler. The front obeys MaxHeaderBytes and MaxBodyBytes of the document in force. Trickled requests are read every 5 ms, so that their bytes share buffers; heads are counted by line as they arrive. Freed buffers go back by malloc_trim.

--- a/include/pollenloft/net.hpp
+++ b/include/pollenloft/net.hpp
@@ -49,6 +49,30 @@
   }
 };
 
+/// Limits on what all servers of a process hold together.
+struct connection_limits {
+  /// Requests that arrive or are being answered, and responses that callers
+  /// have not read.
+  std::size_t max_bytes = 64 * 1024 * 1024;
+  std::size_t max_connections = 4000;
+  /// A request that arrives alone may exceed `max_bytes` up to this: the
+  /// largest body in chunks of one byte.
+  std::size_t max_request_bytes = 25 * 1024 * 1024;
+};
+/// The limits of a machine with this memory and so many descriptors; those
+/// that are 0 are not known.
+auto limits_of_machine(double memory_mb, std::size_t descriptors)
+    -> connection_limits;
+
+/// What the servers of a process hold, and how often a limit has bound.
+struct connection_usage {
+  std::size_t connections = 0;
+  std::size_t held_bytes = 0;
+  std::uint64_t refused = 0;  ///< requests, before they arrived completely
+  std::uint64_t closed = 0;   ///< connections that were idle or not read
+  std::uint64_t paused = 0;   ///< requests whose arrival had to wait
+};
+
 /// The event loop of a process.
 class event_loop {
  public:
@@ -68,6 +92,8 @@
   auto finish(duration limit, sigc::slot<bool()> busy = {}) -> void;
   /// Responses of all servers of this loop that have not left the process.
   auto unfinished() const -> unfinished_responses;
+  auto set_connection_limits(connection_limits limits) -> void;
+  auto connections() const -> connection_usage;
   /// Runs `work` once, after the callbacks that are now running.
   auto post(task work) -> void;
   /// Runs `work` once after `delay`; a negative delay counts as zero.
@@ -210,6 +236,9 @@
   /// Stops accepting connections; open exchanges continue.
   auto close_listener() -> void;
   auto unfinished() const -> unfinished_responses;
+  /// Limits requests that have not arrived yet, also on open connections.
+  auto set_request_limits(std::size_t header_bytes, std::size_t body_bytes)
+      -> void;
 
  private:
   std::unique_ptr<impl> impl_;
--- a/src/control_settings.cpp
+++ b/src/control_settings.cpp
@@ -33,6 +33,12 @@
        "bandwidth of this VM's link; bulk transfers use up to half of it"},
       {"metrics-listen", "", optional_address{},
        "additional address that serves /metrics"},
+      {"memory-mb", "0", decimal_range{0, 1000000},
+       "memory of this VM; limits what requests and unread responses may hold, "
+       "0 if it is not known"},
+      {"max-fds", "0", decimal_range{0, 10000000},
+       "file descriptors of this process; callers' connections use up to half "
+       "of them, 0 if they are not known"},
       {"report-period-ms", "1200", decimal_range{50, 600000},
        "interval of the platform endpoints' reports"},
       {"data", "", nonempty_text{}, "directory of the replicated log"},
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -8,6 +8,7 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 
+#include "connection_monitor.hpp"
 #include "control_gateway.hpp"
 #include "control_settings.hpp"
 #include "departure_recorder.hpp"
@@ -1333,6 +1334,7 @@
   reply_pacer pacer_;
   std::unique_ptr<control_gateway> gateway_;
   metrics metrics_;
+  connection_monitor connections_{loop_, metrics_};
   timer tick_timer_;
   timer stop_timer_;
   replica_role known_role_ = replica_role::follower;
@@ -1376,6 +1378,9 @@
     return 1;
   }
   event_loop loop;
+  loop.set_connection_limits(
+      limits_of_machine(values.decimal("memory-mb"),
+                        static_cast<std::size_t>(values.decimal("max-fds"))));
   control_server server(loop, values, std::move(*disk));
   if (!server.start(values.address("listen"))) {
     log_failure("start.failed", last_error());
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -42,7 +42,7 @@
       options_(std::move(options)),
       chart_(std::move(request_chart)),
       incarnation_(options_.vm + "#" + std::to_string(wall_clock().count())),
-      client_(loop_),
+      client_(loop_, options_.max_response_bytes),
       server_(loop_, http_limits{},
               [this](const exchange_ptr& call) { handle_request(call); }),
       control_(
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -31,6 +31,7 @@
   /// Time from the start of the shutdown until open requests are ended.
   milliseconds grace{30000};
   std::size_t max_queued = 2000;  ///< queued requests per service
+  std::size_t max_response_bytes = default_max_response_bytes;
   std::uint64_t seed = 1;
   /// For checks only: replaces the host of each endpoint unless it is empty.
   std::string endpoint_host{};
--- a/src/entryd.cpp
+++ b/src/entryd.cpp
@@ -4,6 +4,7 @@
 
 #include <iostream>
 
+#include "connection_monitor.hpp"
 #include "entry_server.hpp"
 #include "front_server.hpp"
 #include "pollenloft/settings.hpp"
@@ -46,6 +47,12 @@
      "time between reporting not ready and refusing requests"},
     {"grace-ms", "30000", number_range{0, 3600000},
      "time for open requests to finish at shutdown"},
+    {"memory-mb", "0", decimal_range{0, 1000000},
+     "memory of this VM; limits what requests and unread responses may hold, "
+     "0 if it is not known"},
+    {"max-fds", "0", decimal_range{0, 10000000},
+     "file descriptors of this process; callers' connections use up to half "
+     "of them, 0 if they are not known"},
     {"queue", "2000", number_range{1, 1000000},
      "requests that may be queued for each service"},
     {"seed", "0", number_range{0, INT64_MAX},
@@ -58,6 +65,8 @@
     {"log-level", "info", one_of{{"debug", "info", "warning", "error"}},
      "minimum level to log"}};
 
+/// Part of each MB of memory that the responses of endpoints may hold.
+constexpr double response_bytes_per_mb = 1024.0 * 1024 / 5;
 /// For comparison: a chain of ten loaded stages has a cost of about 100 ms.
 constexpr auto remote_zone_penalty = milliseconds(15);
 
@@ -105,6 +114,10 @@
   options.drain_notice = values.millis("drain-notice-ms");
   options.grace = values.millis("grace-ms");
   options.max_queued = static_cast<std::size_t>(values.number("queue"));
+  if (const auto memory_mb = values.decimal("memory-mb"); memory_mb > 0)
+    options.max_response_bytes =
+        std::min(options.max_response_bytes,
+                 static_cast<std::size_t>(memory_mb * response_bytes_per_mb));
   options.seed = static_cast<std::uint64_t>(values.number("seed"));
   if (values.text("switch-off") != "none")
     options.disabled_mechanism = values.text("switch-off");
@@ -137,6 +150,9 @@
     return 1;
   }
   event_loop loop;
+  loop.set_connection_limits(
+      limits_of_machine(values.decimal("memory-mb"),
+                        static_cast<std::size_t>(values.decimal("max-fds"))));
   const auto options = make_options(values);
   entry_server server(loop, options, std::move(*request_chart));
   std::optional<front_server> front;
@@ -150,6 +166,7 @@
     server.ending_open_requests.connect(
         [&front] { front->end_open_requests(); });
   }
+  const connection_monitor connections(loop, server.metrics_registry());
   const auto metrics_address =
       parse_socket_address(values.text("metrics-listen"));
   http_server metrics_server(
--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -306,6 +306,11 @@
   }
   auto config = std::make_shared<const ingress_config>(
       std::get<ingress_config>(std::move(decoded)));
+  const auto& limits = config->limits;
+  for (auto* server : {&server_, &relay_server_})
+    server->set_request_limits(
+        std::min(limits.header_bytes, front_limits.header_bytes),
+        std::min(limits.body_bytes, front_limits.body_bytes));
   route_table_ = std::make_shared<const route_table>(std::move(config));
   for (const auto& [id, record] : directory_)
     apply_record(record);
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -14,10 +14,13 @@
 #include <list>
 #include <utility>
 
-#include "net_detail.hpp"
+#include "caller_connection.hpp"
 
 namespace pollenloft {
 
+using detail::caller_connection;
+using detail::caller_connection_ptr;
+using detail::lingering_socket;
 using detail::to_timeval;
 
 namespace {
@@ -27,111 +30,29 @@
 /// discards what the caller has not received yet.
 constexpr auto linger_time = milliseconds(250);
 
-/// A caller's connection that has sent at least one request. evhttp can free
-/// the connection while it takes the end of a response.
-struct caller_connection {
-  evhttp_connection* handle = nullptr;
-  exchange::impl* current = nullptr;  // null once its response is complete
-  bool sending = false;  // a complete response is not yet written to the socket
-  duration idle_timeout{};
-  bool ends_response = false;  // the close of this connection does
-
-  auto stream() const -> bufferevent* {
-    return evhttp_connection_get_bufferevent(handle);
-  }
-  auto unsent_bytes() const -> std::size_t {
-    return evbuffer_get_length(bufferevent_get_output(stream()));
-  }
-  /// From now on, the kernel resets the connection when it is closed, also by
-  /// the end of this process: a close would end the response as whole.
-  auto reset_on_close() -> void {
-    ends_response = true;
-    set_linger({1, 0});
-  }
-  auto set_linger(linger value) const -> void {
-    setsockopt(bufferevent_getfd(stream()), SOL_SOCKET, SO_LINGER, &value,
-               sizeof value);
-  }
-  /// Resets the connection if the response that it ends isn't written, before
-  /// evhttp shuts it down.
-  auto reset_unfinished() const -> void {
-    if (!ends_response || (current == nullptr && !sending)) return;
-    const sockaddr none{AF_UNSPEC, {}};
-    (void)::connect(bufferevent_getfd(stream()), &none, sizeof none);
-  }
-  /// Watches a complete response until the socket has accepted its last byte.
-  /// Only a caller that takes no data ends it early.
-  auto watch_response(evhttp_request* request) -> void {
-    sending = true;
-    evhttp_request_set_on_complete_cb(request, &on_sent, this);
-    const auto timeout = to_timeval(idle_timeout);
-    bufferevent_set_timeouts(stream(), nullptr, &timeout);
-  }
-  /// Keeps an end of the caller's input from ending the response. To be called
-  /// after evhttp has got the response, since it enables reading then; it does
-  /// so again once the response is written.
-  auto stop_reading() const -> void {
-    if (sending) bufferevent_disable(stream(), EV_READ);
-  }
-  static auto on_sent(evhttp_request* /*request*/, void* arg) -> void {
-    auto* self = static_cast<caller_connection*>(arg);
-    self->sending = false;
-    if (self->ends_response) self->set_linger({0, 0});
-    const auto timeout = to_timeval(self->idle_timeout);
-    bufferevent_set_timeouts(self->stream(), &timeout, &timeout);
-  }
-};
-/// Open sockets of connections that have ended, at most.
-constexpr std::size_t max_lingering = 1000;
-
-/// The socket of an ended connection whose responses have been written. It is
-/// closed only after the caller has ended its input: closing it with unread
-/// input would reset the connection and discard what the caller has not
-/// received yet.
-class lingering_socket {
- public:
-  /// `ended` destroys this object; it is called after `limit` at the latest.
-  lingering_socket(event_base* base, int socket, duration limit, task ended)
-      : socket_(socket),
-        readable_(event_new(base, socket, EV_READ, &on_event, this)),
-        until_(boottime_clock::now() + limit),
-        ended_(std::move(ended)) {
-    shutdown(socket_, SHUT_WR);
-    wait();
-  }
-  ~lingering_socket() {
-    event_free(readable_);
-    ::close(socket_);
-  }
-  lingering_socket(const lingering_socket&) = delete;
-  auto operator=(const lingering_socket&) -> lingering_socket& = delete;
-
- private:
-  auto wait() -> void {
-    const auto rest = until_ - boottime_clock::now();
-    const auto timeout = to_timeval(std::max<duration>(rest, milliseconds(0)));
-    event_add(readable_, &timeout);
-  }
-  /// Returns whether the caller may send more.
-  auto discard_input() const -> bool {
-    std::array<char, 16384> part{};
-    const auto size = ::recv(socket_, part.data(), part.size(), 0);
-    return size > 0 || (size < 0 && (errno == EAGAIN || errno == EINTR));
-  }
-  static auto on_event(int /*socket*/, short what, void* arg) -> void {
-    auto* self = static_cast<lingering_socket*>(arg);
-    if ((what & EV_TIMEOUT) == 0 && self->discard_input()) return self->wait();
-    const auto ended = self->ended_;
-    ended();
-  }
-
-  int socket_;
-  event* readable_;
-  instant until_;
-  task ended_;
-};
-
-using caller_connection_ptr = std::shared_ptr<caller_connection>;
+/// Part of the connections of a process whose sockets stay open after their
+/// end, for the callers to read the last response.
+constexpr std::size_t lingering_divisor = 8;
+/// Time for a caller to read why its request was refused before it arrived.
+constexpr auto refusal_linger_time = std::chrono::seconds(2);
+/// Lengths of lines as evhttp counts them differ from those of the fields.
+constexpr std::size_t header_slack_bytes = 2 * 1024;
+/// The request line and the empty line, and one that is above the limit: evhttp
+/// reads a head that ends there, and it is refused by name.
+constexpr std::size_t head_lines_beside_fields = 3;
+constexpr auto overload_response =
+    "HTTP/1.1 503 Service Unavailable\r\n"
+    "Connection: close\r\n"
+    "Content-Length: 24\r\n"
+    "Pollenloft-Outcome: not-run\r\n"
+    "Retry-After: 1\r\n\r\n"
+    "The server is overloaded";
+constexpr auto head_too_large_response =
+    "HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    "Connection: close\r\n"
+    "Content-Length: 23\r\n"
+    "Pollenloft-Outcome: not-run\r\n\r\n"
+    "Too many header fields.";
 
 }  // namespace
 
@@ -292,18 +213,93 @@
   evhttp_bound_socket* socket = nullptr;
   std::map<evhttp_connection*, caller_connection_ptr> connections;
   std::list<std::unique_ptr<lingering_socket>> lingering;  // the oldest first
+  std::vector<bufferevent*> accepted;                      // not adopted yet
+  posted_task adopt_task;
 
   impl(event_loop& loop, http_limits limits, handler on_request)
-      : loop(loop), limits(limits), on_request(std::move(on_request)) {}
+      : loop(loop),
+        limits(limits),
+        on_request(std::move(on_request)),
+        adopt_task(loop, [this] { adopt_accepted(); }) {}
+
+  auto guard() const -> connection_guard& { return *loop.impl_->guard; }
+
+  /// evhttp asks for the stream of a connection that it accepts, and sets it up
+  /// afterwards.
+  static auto on_accept(event_base* base, void* arg) -> bufferevent* {
+    auto* self = static_cast<impl*>(arg);
+    auto* stream = bufferevent_socket_new(base, -1, 0);
+    self->accepted.push_back(stream);
+    self->adopt_task.schedule();
+    return stream;
+  }
+
+  auto adopt_accepted() -> void {
+    for (auto* stream : std::exchange(accepted, {})) {
+      void* arg = nullptr;
+      bufferevent_getcb(stream, nullptr, nullptr, nullptr, &arg);
+      if (arg != nullptr) adopt(static_cast<evhttp_connection*>(arg));
+    }
+  }
+
+  auto adopt(evhttp_connection* handle) -> void {
+    auto record = std::make_shared<caller_connection>();
+    record->handle = handle;
+    record->guard = &guard();
+    record->idle_timeout = limits.idle_timeout;
+    record->max_head_lines = limits.header_count + head_lines_beside_fields;
+    record->max_header_bytes = limits.header_bytes + header_slack_bytes;
+    connections[handle] = record;
+    evhttp_connection_set_closecb(handle, &on_close, this);
+    record->id = guard().open([this, handle](connection_action action) {
+      carry_out(handle, action);
+    });
+    record->watch_buffers();
+  }
+
+  auto carry_out(evhttp_connection* handle, connection_action action) -> void {
+    switch (action) {
+      case connection_action::pause:
+        connections.at(handle)->set_paused(true);
+        break;
+      case connection_action::resume:
+        connections.at(handle)->set_paused(false);
+        break;
+      case connection_action::refuse:
+        refuse(handle);
+        break;
+      case connection_action::close:
+        connections.at(handle)->refused = true;
+        evhttp_connection_free(handle);
+        break;
+    }
+  }
+
+  /// Refuses a request that has not arrived completely, so it can't run.
+  auto refuse(evhttp_connection* handle) -> void {
+    auto* stream = evhttp_connection_get_bufferevent(handle);
+    auto* output = bufferevent_get_output(stream);
+    auto& record = *connections.at(handle);
+    // It may have arrived, or been answered, since the decision.
+    if (record.current != nullptr || record.sending) return;
+    guard().count_refusal();
+    record.refused = true;
+    if (evbuffer_get_length(output) == 0) {
+      const auto* response = record.head.lines() > record.max_head_lines
+                                 ? head_too_large_response
+                                 : overload_response;
+      evbuffer_unfreeze(output, 1);
+      evbuffer_add(output, response, strlen(response));
+      evbuffer_write(output, bufferevent_getfd(stream));
+    }
+    evhttp_connection_free(handle);
+  }
 
   /// The record of the connection on which `handle` arrived.
   auto connection_of(evhttp_request* handle) -> caller_connection_ptr {
-    auto* connection = evhttp_request_get_connection(handle);
-    auto& record = connections[connection];
-    record = std::make_shared<caller_connection>();
-    record->handle = connection;
-    record->idle_timeout = limits.idle_timeout;
-    evhttp_connection_set_closecb(connection, &on_close, this);
+    // A request can't arrive before its connection was adopted.
+    const auto& record = connections.at(evhttp_request_get_connection(handle));
+    record->begin_request();
     return record;
   }
 
@@ -334,11 +330,14 @@
     const auto socket =
         fcntl(bufferevent_getfd(connection.stream()), F_DUPFD_CLOEXEC, 0);
     if (socket < 0) return;
+    const auto max_lingering = std::max<std::size_t>(
+        1, guard().limits().max_connections / lingering_divisor);
     if (lingering.size() >= max_lingering) lingering.pop_front();
     const auto place = lingering.emplace(lingering.end());
+    const duration limit = connection.refused ? duration(refusal_linger_time)
+                                              : duration(limits.idle_timeout);
     *place = std::make_unique<lingering_socket>(
-        loop.base(), socket, limits.idle_timeout,
-        [this, place] { lingering.erase(place); });
+        loop.base(), socket, limit, [this, place] { lingering.erase(place); });
   }
 
   static auto on_close(evhttp_connection* connection, void* arg) -> void {
@@ -346,14 +345,24 @@
     const auto closed = self->connections.extract(connection);
     if (closed.empty()) return;
     const auto& record = *closed.mapped();
+    self->guard().close(record.id);
+    closed.mapped()->slowed = timer();
+    evbuffer_remove_cb(bufferevent_get_input(record.stream()),
+                       &caller_connection::on_input, closed.mapped().get());
+    evbuffer_remove_cb(bufferevent_get_output(record.stream()),
+                       &caller_connection::on_output, closed.mapped().get());
     record.reset_unfinished();
     if (record.current != nullptr) return record.current->handle_close();
-    if (!record.sending) self->linger(record);
+    if (!record.sending && (record.requested || record.refused))
+      self->linger(record);
   }
 
   auto reply_error(evhttp_request* handle, int status, const char* message)
       -> void {
     const auto connection = connection_of(handle);
+    connection->begin_answer(0);
+    auto* input = evhttp_request_get_input_buffer(handle);
+    evbuffer_drain(input, evbuffer_get_length(input));
     connection->watch_response(handle);
     auto* buffer = evbuffer_new();
     evbuffer_add_printf(buffer, "%s\n", message);
@@ -375,6 +384,16 @@
         detail::read_headers(evhttp_request_get_input_headers(handle));
     if (request.headers.fields().size() > limits.header_count)
       return reply_error(handle, 431, "Too many header fields.");
+    const auto body_bytes =
+        evbuffer_get_length(evhttp_request_get_input_buffer(handle));
+    if (body_bytes > limits.body_bytes)
+      return reply_error(handle, 413, "The body is too large.");
+    if (!guard().admits_answer(body_bytes)) {
+      guard().count_refusal();
+      evhttp_add_header(evhttp_request_get_output_headers(handle),
+                        "Retry-After", "1");
+      return reply_error(handle, 503, "The server is overloaded.");
+    }
     request.method = detail::method_name(evhttp_request_get_command(handle));
     request.target = evhttp_request_get_uri(handle);
     const auto* path =
@@ -382,6 +401,7 @@
     request.path = path != nullptr && *path != '\0' ? path : "/";
     request.body = detail::buffer_text(evhttp_request_get_input_buffer(handle));
     const auto connection = connection_of(handle);
+    connection->begin_answer(body_bytes);
     char* host = nullptr;
     ev_uint16_t port = 0;
     evhttp_connection_get_peer(connection->handle, &host, &port);
@@ -400,10 +420,8 @@
   impl_->http = evhttp_new(loop.base());
   loop.impl_->servers.insert(impl_.get());
   evhttp_set_gencb(impl_->http, &impl::on_evhttp_request, impl_.get());
-  evhttp_set_max_headers_size(impl_->http,
-                              static_cast<ev_ssize_t>(limits.header_bytes));
-  evhttp_set_max_body_size(impl_->http,
-                           static_cast<ev_ssize_t>(limits.body_bytes));
+  evhttp_set_bevcb(impl_->http, &impl::on_accept, impl_.get());
+  set_request_limits(limits.header_bytes, limits.body_bytes);
   evhttp_set_timeout(impl_->http,
                      static_cast<int>(limits.idle_timeout.count()));
   evhttp_set_allowed_methods(
@@ -432,6 +450,21 @@
   return impl_->unfinished();
 }
 
+auto http_server::set_request_limits(std::size_t header_bytes,
+                                     std::size_t body_bytes) -> void {
+  const auto head = static_cast<ev_ssize_t>(header_bytes + header_slack_bytes);
+  const auto body = static_cast<ev_ssize_t>(body_bytes);
+  impl_->limits.header_bytes = header_bytes;
+  impl_->limits.body_bytes = body_bytes;
+  evhttp_set_max_headers_size(impl_->http, head);
+  evhttp_set_max_body_size(impl_->http, body);
+  for (const auto& [handle, connection] : impl_->connections) {
+    connection->max_header_bytes = static_cast<std::size_t>(head);
+    evhttp_connection_set_max_headers_size(handle, head);
+    evhttp_connection_set_max_body_size(handle, body);
+  }
+}
+
 auto event_loop::impl::unfinished() const -> unfinished_responses {
   unfinished_responses result;
   for (const auto* server : servers)
--- a/src/net.cpp
+++ b/src/net.cpp
@@ -15,6 +15,15 @@
 
 namespace {
 
+/// Part of the machine's memory that connections may hold. The allocator and
+/// the copies on the way to endpoints take about as much again.
+constexpr double connection_memory_divisor = 5;
+/// The largest body must fit.
+constexpr std::size_t min_connection_bytes = 12 * 1024 * 1024;
+/// Part of the descriptors for connections of callers; the others are for those
+/// to endpoints and for sockets that linger.
+constexpr std::size_t connection_descriptor_divisor = 2;
+
 constexpr auto finish_poll_interval = milliseconds(5);
 
 }  // namespace
@@ -95,7 +104,7 @@
 timer::timer(timer&&) noexcept = default;
 auto timer::operator=(timer&&) noexcept -> timer& = default;
 
-event_loop::event_loop() : impl_(std::make_unique<impl>()) {
+event_loop::event_loop() : impl_(std::make_unique<impl>(*this)) {
   signal(SIGPIPE, SIG_IGN);
   auto* config = event_config_new();
   event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
@@ -106,6 +115,7 @@
 }
 
 event_loop::~event_loop() {
+  impl_->guard.reset();
   impl_->finish_timer = timer();
   impl_->posted_tasks.clear();
   event_free(impl_->posted_event);
@@ -120,6 +130,29 @@
   event_base_loop(impl_->base, EVLOOP_NO_EXIT_ON_EMPTY);
 }
 
+auto limits_of_machine(double memory_mb, std::size_t descriptors)
+    -> connection_limits {
+  constexpr double bytes_per_mb = 1024 * 1024;
+  connection_limits result;
+  if (memory_mb > 0)
+    result.max_bytes =
+        std::max(min_connection_bytes,
+                 static_cast<std::size_t>(memory_mb * bytes_per_mb /
+                                          connection_memory_divisor));
+  if (descriptors > 0)
+    result.max_connections =
+        std::max<std::size_t>(1, descriptors / connection_descriptor_divisor);
+  return result;
+}
+
+auto event_loop::set_connection_limits(connection_limits limits) -> void {
+  impl_->guard->set_limits(limits);
+}
+
+auto event_loop::connections() const -> connection_usage {
+  return impl_->guard->usage();
+}
+
 auto event_loop::stop() -> void {
   event_base_loopbreak(impl_->base);
 }
--- a/src/net_detail.hpp
+++ b/src/net_detail.hpp
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 
+#include "connection_guard.hpp"
 #include "pollenloft/net.hpp"
 
 namespace pollenloft {
@@ -27,6 +28,9 @@
 }  // namespace detail
 
 struct event_loop::impl {
+  explicit impl(event_loop& loop)
+      : guard(std::make_unique<connection_guard>(loop)) {}
+
   event_base* base = nullptr;
   event* posted_event = nullptr;
   std::deque<task> posted_tasks;
@@ -35,6 +39,7 @@
   sigc::slot<bool()> busy;
   instant finish_by{};
   instant linger_until{};  // unset until all responses have been written
+  std::unique_ptr<connection_guard> guard;
 
   auto unfinished() const -> unfinished_responses;
   /// Whether all responses have left the process, or the limit has passed.
--- /dev/null
+++ b/test/head_scanner_test.cpp
@@ -0,0 +1,38 @@
+#include "head_scanner.hpp"
+
+#include "property.hpp"
+
+namespace pollenloft::test {
+
+class head_scanner_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(head_scanner_test);
+  CPPUNIT_TEST(lines_are_counted_up_to_the_empty_one);
+  CPPUNIT_TEST(parts_of_any_size_give_the_same_count);
+  CPPUNIT_TEST_SUITE_END();
+
+  const std::string head_ = "GET / HTTP/1.1\r\nHost: h\r\na:\r\n\r\n";
+
+ public:
+  auto lines_are_counted_up_to_the_empty_one() -> void {
+    head_scanner scanner;
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), scanner.scan(head_ + "body\n\n\n"));
+    CPPUNIT_ASSERT(scanner.complete());
+    CPPUNIT_ASSERT_EQUAL(head_.size(), scanner.bytes());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), scanner.scan("\n\n"));
+  }
+  auto parts_of_any_size_give_the_same_count() -> void {
+    check_property("parts", [this](std::uint8_t size) {
+      const auto step = 1 + size % head_.size();
+      head_scanner scanner;
+      std::size_t lines = 0;
+      for (std::size_t at = 0; at < head_.size(); at += step)
+        lines += scanner.scan(std::string_view(head_).substr(at, step));
+      RC_ASSERT(lines == 4U);
+      RC_ASSERT(scanner.complete());
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(head_scanner_test);
+
+}  // namespace pollenloft::test
--- a/test/settings_test.cpp
+++ b/test/settings_test.cpp
@@ -69,6 +69,8 @@
           {"Tolerate.Machines", "1"},
           {"HeartbeatMs", "1200"},
           {"Limits.LinkMbps", "1000.0"},
+          {"Limits.MemoryMb", "260"},
+          {"Limits.MaxFds", "4100"},
           {"Bounds.RetrySlack", "50"},
           {"Bounds.ConfigApplyMs", "2000"}};
 }
@@ -212,6 +214,8 @@
     auto values = platform_values();
     values["Bounds.RetrySlack"] = "61.724137931034484";
     values["Bounds.ConfigApplyMs"] = "1999.5";
+    values["Limits.MemoryMb"] = "160.5";
+    values["Limits.MaxFds"] = "4100.0";
     CPPUNIT_ASSERT_EQUAL(
         refused_log_level,
         refused_settings(POLLENLOFT_ENTRYD, render("entry.conf", values)));
@@ -221,6 +225,8 @@
     auto values = platform_values();
     values["HeartbeatMs"] = "1200.25";
     values["Limits.LinkMbps"] = "170.5";
+    values["Limits.MemoryMb"] = "256.25";
+    values["Limits.MaxFds"] = "4096.0";
     CPPUNIT_ASSERT_EQUAL(
         refused_log_level,
         refused_settings(POLLENLOFT_CONTROLD, render("control.conf", values)));
