Choose chains by zone and work, check silent stages, keep room for urgent routes

The router kept the four cheapest partial chains at each boundary over all zones; those of the callers' zone are cheaper and hid the others, also where that zone lacked a later layer.

Changes - chain_search: zones are searched apart, the callers' own and one at random (route_test zone_without_a_layer_hides_no_complete_zone). - front_silence: a stream silent for longer than usual has its stages checked by a connection; one that refuses or is dark is replaced (silent_stage_test). - response_time: an attempt without a first event is abandoned after half of the objective, later where all are slow. - work, front_work: endpoints are compared by the work left, as predicted from profile, estimates and times seen; weigh-work=false switches it off. - Less urgent priorities of a service leave 12% of KV cache each to urgent ones; only where routes of one service have different priorities. - request.ended names why a stream was late.

--- a/include/pollenloft/ingress.hpp
+++ b/include/pollenloft/ingress.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -120,6 +121,9 @@
   /// The route of this host with the longest matching path prefix, or null.
   auto find(std::string_view host, std::string_view path) const
       -> const ingress_route*;
+  /// Number of priorities of the service's routes that go before this one.
+  auto less_urgent_by(const std::string& service, std::int32_t priority) const
+      -> int;
   /// The account of an API key, or null.
   auto account_of(const std::string& key) const -> const ingress_account*;
 
@@ -127,6 +131,8 @@
   std::shared_ptr<const ingress_config> config_;
   /// Indices of routes, by host and path prefix.
   std::unordered_map<std::string, std::map<std::string, std::size_t>> hosts_;
+  std::unordered_map<std::string, std::set<std::int32_t>>
+      priorities_;  // of routes, by service
 };
 
 /// The service for a request, chosen by weight; `draw` is uniform in [0, 1).
--- a/include/pollenloft/route.hpp
+++ b/include/pollenloft/route.hpp
@@ -82,6 +82,9 @@
   duration report_half_life = milliseconds(500);
   /// Endpoints compared for each layer range.
   std::size_t candidates_per_range = 4;
+  /// The same while one zone is searched. All VMs have the same reports, so
+  /// more would make them choose alike.
+  std::size_t candidates_per_zone = 2;
   std::string zone;  ///< availability zone of this VM; its callers are near
   /// Cost of a chain that starts in another zone. Only the response crosses
   /// zones then.
@@ -99,11 +102,13 @@
   const std::set<std::string>* avoid = nullptr;  ///< endpoint ids
   /// Share of each endpoint's slots kept free for other requests.
   double reserved_slot_share = 0;
+  /// Share of each endpoint's KV cache kept free for more urgent requests.
+  double kv_headroom = 0;
   double tokens = 0;  ///< prompt and expected output
   /// Activations that one cross-zone transfer carries for this request, in MB.
   double cross_zone_mb = 0;
-  bool allow_ejected = false;  ///< set by the router itself
-  bool single_zone = false;    ///< set by the router itself
+  bool allow_ejected = false;              ///< set by the router itself
+  const std::string* only_zone = nullptr;  ///< set by the router itself
 };
 
 /// Why a zone has no free chain: the first layer that no usable endpoint
@@ -182,6 +187,9 @@
   auto dispatch_ended(const chain& stages, bool poison_suspect,
                       dispatch_result result,
                       const std::string& failed_endpoint, instant now) -> void;
+  /// Changes what is left to do for a request in flight, where 1 is the work of
+  /// a mean request, with which each dispatch starts.
+  auto change_work(const chain& stages, double difference) -> void;
   /// Updates load and learned costs from reports, one for each stage in order.
   auto learn(const std::vector<load_report>& reports, const chain& stages,
              instant now) -> void;
--- a/src/endpoint_pool.hpp
+++ b/src/endpoint_pool.hpp
@@ -17,6 +17,7 @@
   std::shared_ptr<const endpoint_view> view;
   double outstanding = 0;      // requests of this VM
   double window = 1;           // limit on `outstanding`
+  double extra_work = 0;       // of them, beyond that of as many mean requests
   double others_reported = 0;  // other VMs' requests, in the latest report
   instant load_reported_at{};
   duration layer_time{};         // learned; 0 falls back on the kind's
@@ -110,14 +111,23 @@
     return entry.outstanding + reserved < slots;
   }
 
+  auto has_free_kv(const endpoint_entry& entry, const chain_request& request,
+                   instant now) const -> bool {
+    return entry.view->kv_utilization <
+               options.max_kv_utilization - request.kv_headroom &&
+           projected_kv_utilization(entry, request.tokens, now) <=
+               1 - request.kv_headroom;
+  }
+
   auto usable(const endpoint_entry& entry, const chain_request& request,
               instant now) const -> bool {
+    if (request.only_zone != nullptr && entry.view->zone != *request.only_zone)
+      return false;
     if (!has_free_slot(entry, request)) return false;
     if (now < entry.ejected_until && !request.allow_ejected) return false;
     if (now < entry.backoff_until) return false;
     if (!admitted(entry, now)) return false;
-    if (entry.view->kv_utilization >= options.max_kv_utilization) return false;
-    if (projected_kv_utilization(entry, request.tokens, now) > 1) return false;
+    if (!has_free_kv(entry, request, now)) return false;
     // Poison suspects do not share an endpoint, so that a crash identifies the
     // request that causes it.
     if (request.poison_suspect && entry.poison_suspects > 0) return false;
@@ -127,7 +137,8 @@
   }
 
   auto load(const endpoint_entry& entry, instant now) const -> double {
-    return entry.outstanding + others_load(entry, now) + 1;
+    const auto own = std::max(0.0, entry.outstanding + entry.extra_work);
+    return own + others_load(entry, now) + 1;
   }
 
   /// Cost factor that grows as the KV cache fills up.
@@ -180,7 +191,10 @@
     const auto round_robin =
         std::holds_alternative<policy_round_robin>(options.policy);
     const auto start = round_robin ? round_robin_position : random.next();
-    const auto max_candidates = round_robin ? 1 : options.candidates_per_range;
+    const auto max_candidates = round_robin ? 1
+                                : request.only_zone == nullptr
+                                    ? options.candidates_per_range
+                                    : options.candidates_per_zone;
     for (std::size_t i = 0;
          i < endpoints.size() && candidates.size() < max_candidates; ++i) {
       auto* entry = endpoints[(start + i) % endpoints.size()].get();
@@ -282,8 +296,7 @@
       wait_for(result.paused);
     else if (now < entry.ejected_until)
       ++result.ejected;
-    else if (entry.view->kv_utilization >= options.max_kv_utilization ||
-             projected_kv_utilization(entry, request.tokens, now) > 1)
+    else if (!has_free_kv(entry, request, now))
       ++result.kv_full;
     else if (!has_free_slot(entry, request))
       ++result.no_free_slot;
--- a/src/entryd.cpp
+++ b/src/entryd.cpp
@@ -43,6 +43,9 @@
     {"policy", "predicted",
      one_of{{"predicted", "least-outstanding", "round-robin"}},
      "how chains of endpoints are chosen"},
+    {"weigh-work", "true", one_of{{"true", "false"}},
+     "whether endpoints are compared by the predicted work of their requests, "
+     "or by their number"},
     {"drain-notice-ms", "1000", number_range{0, 600000},
      "time between reporting not ready and refusing requests"},
     {"grace-ms", "30000", number_range{0, 3600000},
@@ -92,6 +95,7 @@
   options.retry_slack = values.decimal("retry-slack");
   options.document_apply_time = values.millis("document-apply-ms");
   options.drain_notice = values.millis("drain-notice-ms");
+  options.weighs_work = values.flag("weigh-work");
   options.relay_listen = parse_socket_address(values.text("relay-listen"));
   options.endpoint_host = values.text("endpoint-host");
   options.routing.zone = options.zone;
--- a/src/front_repair.cpp
+++ b/src/front_repair.cpp
@@ -7,7 +7,9 @@
 
 /// Runners abort work that depends on an unreachable runner by themselves. A
 /// stream that pauses this long is resumed before they do.
-constexpr auto first_event_timeout = milliseconds(1800);
+constexpr auto max_first_event_timeout = milliseconds(1800);
+/// An attempt elsewhere must still meet the objective.
+constexpr int first_event_share = 2;
 constexpr auto event_timeout = milliseconds(1500);
 /// Timeout for the response to a repeatable plain request, as a multiple of the
 /// route's latency objective.
@@ -26,10 +28,30 @@
         min_response_timeout,
         response_timeout_factor * params_.route->latency_objective);
   return lifecycle_.state() == "streaming" ? duration(event_timeout)
-                                           : duration(first_event_timeout);
+                                           : first_event_timeout();
+}
+
+/// A stage that is dark or slow delays the first event far beyond its usual
+/// time; when all are slow, the usual time grows.
+auto front_request::first_event_timeout() const -> duration {
+  const auto& known = host_.first_event_times();
+  const auto found = known.find(params_.route->name);
+  if (found == known.end()) return max_first_event_timeout;
+  return found->second.timeout(
+      params_.route->latency_objective / first_event_share,
+      max_first_event_timeout);
+}
+
+auto front_request::record_first_event_time() -> void {
+  if (!is_stream() || peer_ ||
+      params_.route->latency_objective <= milliseconds(0))
+    return;
+  host_.first_event_times()[params_.route->name].record(boottime_clock::now() -
+                                                        dispatched_at_);
 }
 
 auto front_request::arm_stall_timer() -> void {
+  arm_silence_timer();
   // The VM that has a relayed request watches over its endpoints.
   if (!params_.route->may_repeat() || peer_) return;
   stall_timer_ = host_.loop().after(stall_timeout(), [self = weak_from_this()] {
@@ -95,17 +117,20 @@
   auto repaired = host_.routes().replace_stage(stages_, failed_endpoint,
                                                make_chain_request(), now);
   if (!repaired) return false;
+  set_work(1);
   host_.routes().dispatch_ended(stages_, poison_suspect_,
                                 dispatch_result::abandoned, "", now);
   stages_ = std::move(*repaired);
   exposure_ = {now};
   host_.routes().dispatch_started(stages_, poison_suspect_, tokens(), now);
+  set_work(work_left());
   log_event(log_level::info, "chain.mended",
             {{"id", params_.headers.request_id},
              {"lost", failed_endpoint},
              {"stages", stages_.size()},
              {"events", events_.size()}});
   host_.metrics_registry().add("pollenloft_chains_mended_total");
+  ++mended_;
   arm_stall_timer();
   send_chain_update(now);
   return true;
@@ -153,12 +178,14 @@
 
 auto front_request::abandon_stalled_dispatch() -> void {
   const auto stages = stages_;
+  if (events_.answer_size() == 0) record_first_event_time();
   step(request_event::stalled);
   // A request that may not run again stays on this dispatch.
   if (dispatch_active_) return;
   for (const auto& stage : stages)
     avoided_endpoints_.insert(stage.endpoint->id);
   host_.metrics_registry().add("pollenloft_stalls_total");
+  ++stalled_;
   log_event(log_level::warning, "attempt.stalled",
             {{"id", params_.headers.request_id},
              {"fingerprint", fingerprint_text(params_.fingerprint)},
--- a/src/front_request.cpp
+++ b/src/front_request.cpp
@@ -9,6 +9,9 @@
 
 constexpr double bytes_per_mb = 1e6;
 constexpr std::int32_t max_priority = 9;
+/// Share of the KV cache that each more urgent priority keeps free.
+constexpr double kv_headroom = 0.12;
+constexpr double max_kv_headroom = 0.4;
 
 auto to_ms(duration d) -> milliseconds {
   return std::chrono::duration_cast<milliseconds>(d);
@@ -83,6 +86,10 @@
         cost() * params_.engine->activation_bytes_per_token / bytes_per_mb;
   }
   result.tokens = tokens();
+  // A stream that has begun, or has run, is not held up again.
+  if (events_.size() == 0 && no_earlier_run())
+    result.kv_headroom =
+        std::min(max_kv_headroom, kv_headroom * params_.less_urgent_by);
   result.poison_suspect = poison_suspect_;
   result.avoid = &avoided_endpoints_;
   return result;
@@ -162,6 +169,8 @@
   host_.routes().dispatch_started(stages_, poison_suspect_, tokens(),
                                   boottime_clock::now());
   dispatch_active_ = true;
+  work_ = 1;
+  set_work(work_left());
   response_ = {};
   response_head_ = {};
   relay_refusal_.reset();
@@ -170,6 +179,7 @@
   parts_survived_ = false;
   stage_lost_ = false;
   dispatched_at_ = boottime_clock::now();
+  timing_.dispatched(dispatched_at_);
   exposure_ = {dispatched_at_};
   if (lifecycle_.attempt() == 1)
     host_.metrics_registry().observe("pollenloft_queue_seconds",
@@ -223,7 +233,9 @@
                                   const std::string& failed_endpoint) -> void {
   stall_timer_ = timer();
   repair_timer_ = timer();
+  silence_timer_ = timer();
   if (!dispatch_active_) return;
+  set_work(1);
   dispatch_active_ = false;
   host_.routes().dispatch_ended(stages_, poison_suspect_, result,
                                 failed_endpoint, boottime_clock::now());
@@ -292,8 +304,10 @@
 
 auto front_request::log_outcome(const char* result, int status) -> void {
   const auto succeeded = status < 400;
+  const auto late = timing_.late(*params_.route, params_.arrived);
+  if (late) host_.metrics_registry().add("pollenloft_late_streams_total");
   log_event(
-      succeeded ? log_level::debug : log_level::info, "request.ended",
+      succeeded && !late ? log_level::debug : log_level::info, "request.ended",
       {{"id", params_.headers.request_id},
        {"fingerprint", fingerprint_text(params_.fingerprint)},
        {"prompt_parts", fingerprints_text(params_.parts)},
@@ -305,6 +319,13 @@
        {"attempts", lifecycle_.attempt()},
        {"relayed", params_.relayed ? 1 : 0},
        {"events", events_.size()},
+       {"late", late ? 1 : 0},
+       {"queued_ms", to_ms(timing_.queued(params_.arrived)).count()},
+       {"first_event_ms",
+        to_ms(timing_.to_first_event(params_.arrived)).count()},
+       {"max_gap_ms", to_ms(timing_.max_gap()).count()},
+       {"mended", mended_},
+       {"stalled", stalled_},
        {"took_ms", to_ms(boottime_clock::now() - params_.arrived).count()},
        {"reason", succeeded ? "" : end_reason_}});
 }
--- a/src/front_request.hpp
+++ b/src/front_request.hpp
@@ -18,6 +18,9 @@
 #include "pollenloft/net.hpp"
 #include "pollenloft/route.hpp"
 #include "pollenloft/telemetry.hpp"
+#include "pollenloft/work.hpp"
+#include "response_time.hpp"
+#include "stream_timing.hpp"
 #include "vm_relay.hpp"
 
 namespace pollenloft {
@@ -31,11 +34,30 @@
   virtual auto draining() const -> bool = 0;
   virtual auto reach() -> reach_monitor& = 0;
   virtual auto relay() -> vm_relay& = 0;
+  /// Times to the first event, by route.
+  auto first_event_times() -> response_times& { return first_event_times_; }
+  auto work() -> work_estimator& { return work_; }
+  /// Handles the failure of an endpoint in all requests of this VM; false if
+  /// the host knows of none.
+  virtual auto fail_over_from(const std::string& /*endpoint*/) -> bool {
+    return false;
+  }
+  /// When this VM has last checked an endpoint of a silent stream.
+  auto stage_checks() -> std::map<std::string, instant>& {
+    return stage_checks_;
+  }
+  /// Whether endpoints are compared by the work of requests, not their number.
+  virtual auto weighs_work() const -> bool { return true; }
   /// Whether refusals of relayed requests concern this VM alone.
   auto relay_refusal_scope() -> const char* {
     return draining() || reach().cut_off() ? relay_refused_here
                                            : relay_refused_anywhere;
   }
+
+ private:
+  response_times first_event_times_;
+  work_estimator work_;
+  std::map<std::string, instant> stage_checks_;
 };
 
 /// Parameters of a request that are known before it is queued.
@@ -47,6 +69,7 @@
   const engine_profile* engine = nullptr;  ///< null for a plain service
   std::string account;                     ///< empty on public routes
   std::int32_t priority = 1;
+  int less_urgent_by = 0;  ///< priorities of the service's routes before it
   std::size_t max_attempts = SIZE_MAX;  ///< besides that of the route
   bool relayed = false;  ///< by another VM, so it is not relayed again
   platform::caller_headers headers;
@@ -153,9 +176,24 @@
   auto requeue_refused() -> void;
   auto release_slots(dispatch_result result, const std::string& failed_endpoint)
       -> void;
+  auto stated_output() const -> stated_size;
+  auto predict_work() const -> double;
+  /// Work that is left after the events so far.
+  auto work_left() const -> double;
+  /// Tells the router what is left to do at the stages of this attempt.
+  auto set_work(double left) -> void;
+  auto learn_work() -> void;
   auto endpoint_by_address(const std::string& address) const -> std::string;
   auto stall_timeout() const -> duration;
+  auto first_event_timeout() const -> duration;
+  /// Counts the time of this attempt, up to its first event or its end.
+  auto record_first_event_time() -> void;
   auto arm_stall_timer() -> void;
+  auto suspicious_silence() const -> duration;
+  auto arm_silence_timer() -> void;
+  auto check_stages() -> void;
+  auto handle_silent_stage(const std::string& endpoint, listener_state state)
+      -> void;
   auto handle_stall() -> void;
   auto abandon_stalled_dispatch() -> void;
   /// Replaces one stage of a stream in flight; false if no endpoint can take
@@ -186,6 +224,7 @@
   timer deadline_timer_;
   timer stall_timer_;
   timer repair_timer_;
+  timer silence_timer_;
   timer budget_timer_;
   timer backoff_timer_;
   std::size_t refusals_ = 0;                 // in a row
@@ -207,7 +246,13 @@
   // Of the stream that has begun.
   body_end caller_end_ = body_end::length;
   std::string caller_media_type_;
-  instant data_at_{};             // of the last part of a stream
+  instant data_at_{};  // of the last part of a stream
+  stream_timing timing_;
+  double work_ = 1;               // left, as the router knows it
+  std::size_t work_events_ = 0;   // when that was last predicted
+  response_time gaps_;            // between the events of this stream
+  std::size_t mended_ = 0;        // times that a stage was replaced
+  std::size_t stalled_ = 0;       // attempts that were abandoned
   bool stage_lost_ = false;       // in this attempt
   bool parts_survived_ = false;   // in this attempt
   bool prompt_survived_ = false;  // in any attempt
--- a/src/front_response.cpp
+++ b/src/front_response.cpp
@@ -134,6 +134,7 @@
     const auto wrote = !is_stream() || events_.answer_size() > 0;
     if (response_.status == 200 && wrote) record_part_survival();
   }
+  if (response_.status == 200 && !peer_) learn_work();
   step(request_event::completed);
 }
 
--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -243,6 +243,8 @@
     params.priority = account->priority.value_or(params.priority);
   }
   params.service = pick_service(*params.route, random_.unit());
+  params.less_urgent_by =
+      route_table_->less_urgent_by(params.service, params.priority);
   const auto& service = config.services.at(params.service);
   if (service.engine) params.engine = &*service.engine;
   params.fingerprint =
@@ -339,12 +341,13 @@
   dispatch_task_.schedule();
 }
 
-auto front_server::fail_over_from(const std::string& id) -> void {
+auto front_server::fail_over_from(const std::string& id) -> bool {
   std::vector<front_request_ptr> open;
   for (const auto& [number, request] : requests_)
     open.push_back(request);
   for (const auto& request : open)
     request->handle_endpoint_failure(id);
+  return true;
 }
 
 /// Overdue heartbeats alone do not remove an endpoint, since the control
@@ -378,6 +381,7 @@
 
 auto front_server::remove_endpoint(const std::string& id) -> void {
   reach_.remove(id);
+  stage_checks().erase(id);
   router_.remove(id);
 }
 
--- a/src/front_server.hpp
+++ b/src/front_server.hpp
@@ -28,6 +28,8 @@
   std::string relay_key;
   /// For checks only: replaces the host of each endpoint unless it is empty.
   std::string endpoint_host;
+  /// Compares endpoints by the predicted work of their requests.
+  bool weighs_work = true;
   std::size_t max_queued = 500;
   std::size_t max_deferred = 500;
   /// Time within which an accepted document must be in force on every entry VM.
@@ -63,6 +65,8 @@
   auto reach() -> reach_monitor& override { return reach_; }
   auto relay() -> vm_relay& override { return relay_; }
   auto draining() const -> bool override { return draining_; }
+  auto fail_over_from(const std::string& id) -> bool override;
+  auto weighs_work() const -> bool override { return options_.weighs_work; }
   auto enqueue(const front_request_ptr& request, bool requeued)
       -> void override;
   auto dequeue(const front_request_ptr& request) -> void override;
@@ -105,7 +109,6 @@
       -> void;
   auto apply_record(const wire::endpoint_record& record) -> void;
   auto remove_endpoint(const std::string& id) -> void;
-  auto fail_over_from(const std::string& id) -> void;
   auto dispatch_queued() -> void;
   auto update_cross_zone_rate() -> void;
   auto dispatch_queue(fair_queue& queue, instant now) -> void;
--- a/src/front_stream.cpp
+++ b/src/front_stream.cpp
@@ -80,7 +80,10 @@
 }
 
 auto front_request::forward(const std::string& events) -> void {
-  if (lifecycle_.state() == "dispatched") step(request_event::began);
+  if (lifecycle_.state() == "dispatched") {
+    record_first_event_time();
+    step(request_event::began);
+  }
   if (!exchange_->started()) {
     host_.metrics_registry().observe("pollenloft_first_event_seconds",
                                      boottime_clock::now() - params_.arrived);
@@ -90,6 +93,10 @@
     caller_end_ = response_.end;
     caller_media_type_ = media_type(response_.headers);
   }
+  const auto now = boottime_clock::now();
+  if (const auto pause = timing_.pause(now)) gaps_.record(*pause);
+  timing_.forwarded(now);
+  if (events_.size() >= work_events_) set_work(work_left());
   arm_stall_timer();
   if (exchange_->chunk(events) <= max_unread_bytes) return;
   log_event(log_level::warning, "caller.too_slow",
--- a/src/ingress.cpp
+++ b/src/ingress.cpp
@@ -22,6 +22,8 @@
   for (std::size_t i = 0; i < config_->routes.size(); ++i) {
     const auto& route = config_->routes[i];
     hosts_[normalized_host(route.host)].emplace(route.prefix, i);
+    for (const auto& each : route.weighted_services)
+      priorities_[each.service].insert(route.priority);
   }
 }
 
@@ -40,6 +42,14 @@
   return nullptr;
 }
 
+auto route_table::less_urgent_by(const std::string& service,
+                                 std::int32_t priority) const -> int {
+  const auto known = priorities_.find(service);
+  if (known == priorities_.end()) return 0;
+  return static_cast<int>(std::distance(known->second.begin(),
+                                        known->second.lower_bound(priority)));
+}
+
 auto route_table::account_of(const std::string& key) const
     -> const ingress_account* {
   const auto found = config_->account_by_key.find(key);
--- a/src/route.cpp
+++ b/src/route.cpp
@@ -1,13 +1,12 @@
 #include "pollenloft/route.hpp"
 
-#include "endpoint_pool.hpp"
+#include "chain_search.hpp"
 
 namespace pollenloft {
 
 namespace {
 
-constexpr double ewma_weight = 0.2;            // of the newest sample
-constexpr std::size_t max_partial_chains = 4;  // at each layer boundary
+constexpr double ewma_weight = 0.2;  // of the newest sample
 constexpr int consecutive_failures_to_eject = 3;
 constexpr auto max_eject_time = std::chrono::seconds(30);
 constexpr double window_decrease_slots = 0.5;
@@ -18,8 +17,6 @@
 /// Back-off of an endpoint that is down; it is used although it is ejected if a
 /// layer has no other holder.
 constexpr auto max_down_backoff = milliseconds(100);
-/// Token bucket depth for cross-zone transfers, in seconds of the rate.
-constexpr double cross_zone_burst_s = 1;
 constexpr std::size_t max_slow_links = 20000;
 
 auto ewma(duration old, duration sample) -> duration {
@@ -28,133 +25,10 @@
          std::chrono::duration_cast<duration>((sample - old) * ewma_weight);
 }
 
-struct partial_chain {
-  double cost = 0;
-  std::vector<std::pair<endpoint_entry*, range_key>> stages;
-};
-
 }  // namespace
 
-struct router::impl : endpoint_pool {
-  using endpoint_pool::endpoint_pool;
-
-  double cross_zone_rate = 0;  // MB/s
-  double cross_zone_credit_mb = 0;
-  instant cross_zone_refilled_at{};
-
-  auto extend(const partial_chain& head, endpoint_entry* entry,
-              range_key layers, instant now) const -> partial_chain {
-    auto longer = head;
-    longer.cost += cost(*entry, layers.second - layers.first, now);
-    if (head.stages.empty() && !options.zone.empty() &&
-        entry->view->zone != options.zone)
-      longer.cost += seconds(options.remote_zone_penalty);
-    if (!head.stages.empty()) {
-      const auto& last = *head.stages.back().first;
-      longer.cost +=
-          link_cost(*last.view, *entry->view) +
-          mismatch_cost(last, *entry, layers.second - layers.first, now);
-    }
-    longer.stages.emplace_back(entry, layers);
-    return longer;
-  }
-
-  static auto in_same_zone(const partial_chain& head,
-                           const endpoint_entry& next) -> bool {
-    return head.stages.empty() ||
-           head.stages.back().first->view->zone == next.view->zone;
-  }
-
-  auto refill_cross_zone_credit(instant now) -> void {
-    cross_zone_credit_mb =
-        std::min(cross_zone_burst_s * cross_zone_rate,
-                 cross_zone_credit_mb +
-                     cross_zone_rate * seconds(now - cross_zone_refilled_at));
-    cross_zone_refilled_at = now;
-  }
-
-  /// Charges the chain's cross-zone transfers to this VM's share of the links;
-  /// false if the credit is used up.
-  auto spend_cross_zone_credit(const chain& stages, double mb, instant now)
-      -> bool {
-    double transfers = 0;
-    for (std::size_t i = 1; i < stages.size(); ++i)
-      if (stages[i].endpoint->zone != stages[i - 1].endpoint->zone) ++transfers;
-    if (transfers == 0 || mb == 0) return true;
-    refill_cross_zone_credit(now);
-    if (cross_zone_credit_mb <= 0) return false;
-    cross_zone_credit_mb -=
-        transfers * mb;  // may go negative: requests are large
-    return true;
-  }
-
-  auto to_chain(const partial_chain& partial) const -> chain {
-    chain stages;
-    for (const auto& [entry, layers] : partial.stages)
-      stages.push_back({entry->view, layers.first, layers.second});
-    return stages;
-  }
-
-  /// A chain within one zone if there is one, else a cross-zone chain while
-  /// link credit remains.
-  auto choose(const endpoints_by_range& ranges, const chain_request& request,
-              instant now) -> std::optional<chain> {
-    auto local = request;
-    local.single_zone = request.cross_zone_mb > 0;
-    auto best = best_chain(ranges, local, now);
-    if (best || !local.single_zone)
-      return best ? std::optional(to_chain(*best)) : std::nullopt;
-    best = best_chain(ranges, request, now);
-    if (!best) return std::nullopt;
-    auto stages = to_chain(*best);
-    if (!spend_cross_zone_credit(stages, request.cross_zone_mb, now))
-      return std::nullopt;
-    return stages;
-  }
-
-  static auto keep_best(std::vector<partial_chain>& chains, partial_chain added)
-      -> void {
-    const auto position = std::upper_bound(
-        chains.begin(), chains.end(), added,
-        [](const auto& a, const auto& b) { return a.cost < b.cost; });
-    chains.insert(position, std::move(added));
-    if (chains.size() > max_partial_chains) chains.pop_back();
-  }
-
-  /// The cheapest chain over all layers.
-  auto best_chain(const endpoints_by_range& ranges,
-                  const chain_request& request, instant now)
-      -> std::optional<partial_chain> {
-    return best_chain_over(ranges, request, {0, request.layers}, now);
-  }
-
-  /// The cheapest chain over `wanted_range`, by dynamic programming over layer
-  /// boundaries that keeps the best partial chains at each boundary.
-  auto best_chain_over(const endpoints_by_range& ranges,
-                       const chain_request& request, range_key wanted_range,
-                       instant now) -> std::optional<partial_chain> {
-    std::map<std::int32_t, std::vector<partial_chain>> reached;
-    reached[wanted_range.first].push_back({});
-    for (auto it = reached.begin(); it != reached.end(); ++it) {
-      const auto boundary = it->first;
-      if (boundary >= wanted_range.second) break;
-      for (const auto& [held_range, endpoints] : ranges) {
-        if (held_range.first > boundary || held_range.second <= boundary)
-          continue;
-        const range_key layers{
-            boundary, std::min(held_range.second, wanted_range.second)};
-        for (auto* entry : sample(endpoints, request, now))
-          for (const auto& head : it->second)
-            if (!request.single_zone || in_same_zone(head, *entry))
-              keep_best(reached[layers.second],
-                        extend(head, entry, layers, now));
-      }
-    }
-    const auto complete = reached.find(wanted_range.second);
-    if (complete == reached.end() || complete->second.empty())
-      return std::nullopt;
-    return complete->second.front();
-  }
+struct router::impl : chain_search {
+  using chain_search::chain_search;
 
   auto may_eject(const endpoint_entry& entry, instant now) const -> bool {
     std::size_t all = 0;
@@ -417,12 +291,24 @@
     const auto& view = *entry.view;
     if (view.incarnation != stage.endpoint->incarnation) continue;
     entry.outstanding = std::max(0.0, entry.outstanding - 1);
+    // Rounding errors of the differences don't add up.
+    if (entry.outstanding == 0) entry.extra_work = 0;
     entry.poison_suspects -= poison_suspect ? 1 : 0;
     impl_->apply_result(entry, result, failed_endpoint == stage.endpoint->id,
                         &stage == &stages.front(), now);
   }
 }
 
+auto router::change_work(const chain& stages, double difference) -> void {
+  for (const auto& stage : stages) {
+    const auto found = impl_->by_id.find(stage.endpoint->id);
+    if (found == impl_->by_id.end() ||
+        found->second->view->incarnation != stage.endpoint->incarnation)
+      continue;
+    found->second->extra_work += difference;
+  }
+}
+
 auto router::learn(const std::vector<load_report>& reports, const chain& stages,
                    instant now) -> void {
   for (std::size_t i = 0; i < reports.size(); ++i) {
--- a/test/route_test.cpp
+++ b/test/route_test.cpp
@@ -36,7 +36,10 @@
   CPPUNIT_TEST(late_result_of_an_earlier_incarnation_is_ignored);
   CPPUNIT_TEST(complete_chain_in_another_zone_beats_cross_zone_chain);
   CPPUNIT_TEST(cross_zone_chains_stop_without_link_credit);
+  CPPUNIT_TEST(zone_without_a_layer_hides_no_complete_zone);
   CPPUNIT_TEST(full_kv_cache_takes_no_requests);
+  CPPUNIT_TEST(kv_cache_is_kept_free_for_urgent_requests);
+  CPPUNIT_TEST(endpoint_with_less_work_left_is_preferred);
   CPPUNIT_TEST(prefers_endpoints_with_free_kv_cache);
   CPPUNIT_TEST(slow_runner_is_avoided);
   CPPUNIT_TEST(consecutive_refusals_back_off);
@@ -153,6 +156,61 @@
     }
   }
 
+  auto kv_cache_is_kept_free_for_urgent_requests() -> void {
+    router routes({}, 1);
+    auto view = runner("a", 0, 32);
+    view.kv_capacity_tokens = 100000;
+    view.kv_utilization = 0.8;
+    routes.upsert(view);
+    auto request = full_chain_request();
+    CPPUNIT_ASSERT(routes.choose(request, now_));
+    request.kv_headroom = 0.12;
+    CPPUNIT_ASSERT(!routes.choose(request, now_));
+  }
+
+  /// One request each; that of "a" is ten times the work.
+  auto endpoint_with_less_work_left_is_preferred() -> void {
+    router routes({}, 1);
+    const chain large{
+        {std::make_shared<endpoint_view>(runner("a", 0, 32)), 0, 32}};
+    const chain small{
+        {std::make_shared<endpoint_view>(runner("b", 0, 32)), 0, 32}};
+    routes.upsert(*large.front().endpoint);
+    routes.upsert(*small.front().endpoint);
+    routes.dispatch_started(large, false, 0, now_);
+    routes.change_work(large, 9);
+    for (int i = 0; i < 2; ++i) {
+      routes.dispatch_started(small, false, 0, now_);
+      const auto chosen = routes.choose(full_chain_request(), now_);
+      CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen->front().endpoint->id);
+    }
+    routes.change_work(large, -9);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("a"),
+        routes.choose(full_chain_request(), now_)->front().endpoint->id);
+  }
+
+  /// The callers' zone has many first stages and no last one.
+  auto zone_without_a_layer_hides_no_complete_zone() -> void {
+    route_options options;
+    options.zone = "z1";
+    options.remote_zone_penalty = milliseconds(15);
+    router routes(options, 1);
+    routes.set_cross_zone_rate(0);
+    for (int i = 0; i < 8; ++i)
+      routes.upsert(runner("near" + std::to_string(i), 0, 16, "z1"));
+    for (int i = 0; i < 2; ++i) {
+      const auto number = std::to_string(i);
+      routes.upsert(runner("first" + number, 0, 16, "z2"));
+      routes.upsert(runner("last" + number, 16, 32, "z2"));
+    }
+    for (int i = 0; i < 20; ++i) {
+      const auto stages = routes.choose(request_with_activations(), now_);
+      CPPUNIT_ASSERT(stages);
+      CPPUNIT_ASSERT_EQUAL(std::string("z2"), stages->front().endpoint->zone);
+    }
+  }
+
   auto cross_zone_chains_stop_without_link_credit() -> void {
     const auto routes = router_with_incomplete_zone({});
     routes->remove("b");  // only cross-zone chains are left
