Let few VMs compare all zones; return memory when callers have left

After a crowd had left, an entry VM held 24.6 MB where 8.9 MB is calm (trial): memory was returned when the limit ceased to bind, not when the callers left. It is returned now when a quarter of the highest amount is left.

--- a/src/chain_search.hpp
+++ b/src/chain_search.hpp
@@ -9,6 +9,10 @@
 namespace pollenloft {
 
 inline constexpr std::size_t max_partial_chains = 4;  // at each layer boundary
+/// More VMs than this make many choices between two reports of an endpoint;
+/// each then compares few zones.
+inline constexpr std::size_t max_vms_comparing_all = 16;
+inline constexpr std::size_t compared_zones = 2;
 /// Token bucket depth for cross-zone transfers, in seconds of the rate.
 inline constexpr double cross_zone_burst_s = 1;
 
@@ -103,23 +107,24 @@
     return zones;
   }
 
-  /// The cheaper one of chains within the callers' zone and another one. Zones
-  /// are searched apart: the partial chains of a zone that lacks a later layer
-  /// would displace those of others. VMs that compared all zones would choose
-  /// alike, as all have the same reports.
+  /// The cheapest one of chains within the callers' zone and others. Zones are
+  /// searched apart: the partial chains of a zone that lacks a later layer
+  /// would displace those of others. Many VMs that compared all zones would
+  /// choose alike, as all have the same reports.
   auto best_chain_in_a_zone(const endpoints_by_range& ranges,
                             const chain_request& request, instant now)
       -> std::optional<partial_chain> {
+    const auto max_zones =
+        vms <= max_vms_comparing_all ? SIZE_MAX : compared_zones;
     std::optional<partial_chain> best;
     auto local = request;
-    constexpr int max_found = 2;
-    int found_count = 0;
+    std::size_t found_count = 0;
     for (const auto& zone : zones_to_search(ranges)) {
       local.only_zone = &zone;
       auto found = best_chain(ranges, local, now);
       if (!found) continue;
       if (!best || found->cost < best->cost) best = std::move(found);
-      if (++found_count == max_found) break;
+      if (++found_count == max_zones) break;
     }
     return best;
   }
--- a/src/connection_guard.cpp
+++ b/src/connection_guard.cpp
@@ -2,6 +2,7 @@
 
 #include <malloc.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace pollenloft {
@@ -9,6 +10,9 @@
 namespace {
 
 constexpr auto decide_interval = milliseconds(50);
+/// Freed buffers of fewer bytes stay with the allocator.
+constexpr std::size_t min_trim_bytes = 4 * 1024 * 1024;
+constexpr std::size_t trim_divisor = 4;
 
 }  // namespace
 
@@ -22,10 +26,21 @@
 auto connection_guard::close(std::uint64_t id) -> void {
   budget_.close(id);
   handlers_.erase(id);
+  trim_when_released();
+}
+
+/// The buffers of a connection are freed after its close.
+auto connection_guard::trim_when_released() -> void {
+  const auto held = budget_.held_bytes();
+  peak_bytes_ = std::max(peak_bytes_, held);
+  if (peak_bytes_ < min_trim_bytes || held > peak_bytes_ / trim_divisor) return;
+  peak_bytes_ = held;
+  loop_.post([] { malloc_trim(0); });
 }
 
 auto connection_guard::receive(std::uint64_t id, std::size_t bytes) -> void {
   budget_.receive(id, bytes, boottime_clock::now());
+  peak_bytes_ = std::max(peak_bytes_, budget_.held_bytes());
   check();
 }
 
@@ -36,6 +51,7 @@
 
 auto connection_guard::end_answer(std::uint64_t id) -> void {
   budget_.end_answer(id, boottime_clock::now());
+  trim_when_released();
 }
 
 auto connection_guard::set_unsent(std::uint64_t id, std::size_t bytes) -> void {
@@ -76,12 +92,9 @@
     const auto act = found->second;
     act(decision.action);
   }
-  if (std::exchange(pressed_, budget_.needs_decisions()) && !pressed_) {
-    timer_ = timer();
-    // Freed buffers stay with the allocator otherwise.
-    malloc_trim(0);
-  }
-  if (pressed_) timer_ = loop_.after(decide_interval, [this] { decide(); });
+  timer_ = budget_.needs_decisions()
+               ? loop_.after(decide_interval, [this] { decide(); })
+               : timer();
 }
 
 }  // namespace pollenloft
--- a/src/connection_guard.hpp
+++ b/src/connection_guard.hpp
@@ -42,6 +42,7 @@
 
  private:
   auto check() -> void;
+  auto trim_when_released() -> void;
   auto decide() -> void;
 
   event_loop& loop_;
@@ -49,8 +50,8 @@
   std::unordered_map<std::uint64_t, handler> handlers_;
   connection_usage ends_;  // its counts only
   bool posted_ = false;
-  bool pressed_ = false;  // decisions are needed
-  timer timer_;           // while they are
+  std::size_t peak_bytes_ = 0;  // held since memory was returned
+  timer timer_;                 // while they are
 };
 
 }  // namespace pollenloft
