--- a/test/caller_crowd.hpp
+++ b/test/caller_crowd.hpp
@@ -36,6 +36,17 @@
   duration pause{};   ///< between two units
 };
 
+inline auto connect_to(const socket_address& peer) -> int {
+  const auto socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  CPPUNIT_ASSERT(socket >= 0);
+  sockaddr_in remote{};
+  remote.sin_family = AF_INET;
+  remote.sin_port = htons(peer.port);
+  remote.sin_addr.s_addr = htonl(ipv4_number(peer.host));
+  (void)::connect(socket, reinterpret_cast<sockaddr*>(&remote), sizeof remote);
+  return socket;
+}
+
 /// Callers that send at the same time.
 class caller_crowd {
  public:
@@ -52,7 +63,7 @@
       -> void {
     const auto shared = std::make_shared<const caller_plan>(std::move(plan));
     for (std::size_t i = 0; i < count; ++i) {
-      callers_.push_back({connect(peer), shared});
+      callers_.push_back({connect_to(peer), shared});
       callers_.back().next = shared->head;
     }
   }
@@ -79,17 +90,6 @@
     instant due{};
   };
 
-  static auto connect(const socket_address& peer) -> int {
-    const auto socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-    CPPUNIT_ASSERT(socket >= 0);
-    sockaddr_in remote{};
-    remote.sin_family = AF_INET;
-    remote.sin_port = htons(peer.port);
-    remote.sin_addr.s_addr = htonl(ipv4_number(peer.host));
-    (void)::connect(socket, reinterpret_cast<sockaddr*>(&remote),
-                    sizeof remote);
-    return socket;
-  }
   static auto disconnect(caller& each) -> void {
     if (each.socket >= 0) ::close(each.socket);
     each.socket = -1;
