Tell the front's router how many VMs choose; limit unknown machines to 1 GB

The front tells it now (set_choosing_vms); windows and projected memory stay as they were.

Held answers of 6 MB in the first exceed the 64 MB that stood for a machine of unknown memory: a limit that sound callers met. It is 1 GB now where memory-mb is not set. The second wants 1,000 sockets to linger, as before: a quarter of the connections.

Run: route_test 29, response_end_test 11 (failed before), connection_budget_test 12 passed.

--- a/include/pollenloft/route.hpp
+++ b/include/pollenloft/route.hpp
@@ -148,6 +148,8 @@
   auto remove(const std::string& id) -> void;
   /// Number of VMs that share the endpoints' slots, including this one.
   auto set_vm_count(std::size_t vms) -> void;
+  /// Number of VMs that choose chains by the same reports, including this one.
+  auto set_choosing_vms(std::size_t vms) -> void;
   /// Permits for endpoints that limit their requests. `limiter` must outlive
   /// the router.
   auto set_limiter(request_limiter& limiter) -> void;
--- a/src/chain_search.hpp
+++ b/src/chain_search.hpp
@@ -24,6 +24,7 @@
 struct chain_search : endpoint_pool {
   using endpoint_pool::endpoint_pool;
 
+  std::size_t choosing_vms = 1;
   double cross_zone_rate = 0;  // MB/s
   double cross_zone_credit_mb = 0;
   instant cross_zone_refilled_at{};
@@ -115,7 +116,7 @@
                             const chain_request& request, instant now)
       -> std::optional<partial_chain> {
     const auto max_zones =
-        vms <= max_vms_comparing_all ? SIZE_MAX : compared_zones;
+        choosing_vms <= max_vms_comparing_all ? SIZE_MAX : compared_zones;
     std::optional<partial_chain> best;
     auto local = request;
     std::size_t found_count = 0;
--- a/src/front_server.cpp
+++ b/src/front_server.cpp
@@ -388,6 +388,7 @@
 auto front_server::tick() -> void {
   const auto now = boottime_clock::now();
   update_cross_zone_rate();
+  router_.set_choosing_vms(control_.vm_count());
   reach_.tick();
   relay_.tick();
   refuse_expired_deferred(now);
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -32,7 +32,7 @@
 
 /// Part of the connections of a process whose sockets stay open after their
 /// end, for the callers to read the last response.
-constexpr std::size_t lingering_divisor = 8;
+constexpr std::size_t lingering_divisor = 4;
 /// Time for a caller to read why its request was refused before it arrived.
 constexpr auto refusal_linger_time = std::chrono::seconds(2);
 /// Lengths of lines as evhttp counts them differ from those of the fields.
--- a/src/net.cpp
+++ b/src/net.cpp
@@ -18,6 +18,8 @@
 /// Part of the machine's memory that connections may hold. The allocator and
 /// the copies on the way to endpoints take about as much again.
 constexpr double connection_memory_divisor = 5;
+/// The limit where the memory is not known.
+constexpr std::size_t unknown_machine_bytes = 1024 * 1024 * 1024;
 /// The largest body must fit.
 constexpr std::size_t min_connection_bytes = 12 * 1024 * 1024;
 /// Part of the descriptors for connections of callers; the others are for those
@@ -134,6 +136,7 @@
     -> connection_limits {
   constexpr double bytes_per_mb = 1024 * 1024;
   connection_limits result;
+  result.max_bytes = unknown_machine_bytes;
   if (memory_mb > 0)
     result.max_bytes =
         std::max(min_connection_bytes,
--- a/src/route.cpp
+++ b/src/route.cpp
@@ -171,6 +171,10 @@
   impl_->vms = std::max<std::size_t>(1, vms);
 }
 
+auto router::set_choosing_vms(std::size_t vms) -> void {
+  impl_->choosing_vms = vms;
+}
+
 auto router::set_limiter(request_limiter& limiter) -> void {
   impl_->limiter = &limiter;
 }
