Give loops without connection limits those of an unknown machine

The stand-in of the checks never sets limits and kept the 64 MB of the type's default: it refused sound bodies in check drain-answers. The guard begins with 1 GB as the daemons do where memory-mb is not set.

--- a/src/connection_guard.hpp
+++ b/src/connection_guard.hpp
@@ -46,7 +46,7 @@
   auto decide() -> void;
 
   event_loop& loop_;
-  connection_budget budget_{connection_limits{}};
+  connection_budget budget_{limits_of_machine(0, 0)};
   std::unordered_map<std::uint64_t, handler> handlers_;
   connection_usage ends_;  // its counts only
   bool posted_ = false;
