Reject responses whose head or chunks break the grammar of HTTP

Cause: evhttp reads leniently. It ends lines at a NUL byte, joins a line that begins with a blank to the field before it, takes any bytes before a colon for a name, and converts lengths, status codes and chunk sizes with strtoll and atoi. The client saw only what evhttp had read; a length that it overlooked made a body that ends with its connection, whose end is not checked.

Change: response_scanner checks the bytes of each response before evhttp reads them. It stands in the one client that all responses pass; the checks of the status and of a second head move into it. Heads of requests are not part of this change.

--- a/src/caller_connection.hpp
+++ b/src/caller_connection.hpp
@@ -79,17 +79,9 @@
   auto scan_head(evbuffer* buffer, std::size_t added) -> std::size_t {
     if (head.complete() || current != nullptr) return 0;
     std::size_t lines = 0;
-    const auto length = evbuffer_get_length(buffer);
-    evbuffer_ptr at{};
-    if (evbuffer_ptr_set(buffer, &at, length - std::min(added, length),
-                         EVBUFFER_PTR_SET) != 0)
-      return 0;
-    constexpr int max_parts = 8;
-    std::array<evbuffer_iovec, max_parts> parts{};
-    const auto count = evbuffer_peek(buffer, -1, &at, parts.data(), max_parts);
-    for (int i = 0; i < std::min(count, max_parts); ++i)
-      lines += head.scan(
-          {static_cast<const char*>(parts[i].iov_base), parts[i].iov_len});
+    visit_newest_bytes(buffer, added, [&](std::string_view part) {
+      lines += head.scan(part);
+    });
     if (head.complete())
       evhttp_connection_set_max_headers_size(
           handle, static_cast<ev_ssize_t>(std::min(
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -5,14 +5,15 @@
 #include <event2/http.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <strings.h>
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "net_detail.hpp"
 #include "response_budget.hpp"
+#include "response_scanner.hpp"
 
 namespace pollenloft {
 
@@ -21,52 +22,6 @@
 namespace {
 
 constexpr int continue_status = 100;
-constexpr int max_status = 599;
-
-/// Whether all length fields are the same, and the transfer coding is one that
-/// evhttp decodes.
-auto framing_is_known(const http_headers& headers) -> bool {
-  const auto length = headers.find("Content-Length");
-  const auto& fields = headers.fields();
-  return std::all_of(fields.begin(), fields.end(), [&](const auto& field) {
-    const auto* name = field.first.c_str();
-    if (strcasecmp(name, "Content-Length") == 0) return field.second == *length;
-    return strcasecmp(name, "Transfer-Encoding") != 0 ||
-           strcasecmp(field.second.c_str(), "chunked") == 0;
-  });
-}
-
-/// Whether the text holds a status line, `HTTP/1.1 200`.
-auto contains_status_line(std::string_view text) -> bool {
-  constexpr std::string_view protocol = "HTTP/1.";
-  const auto digit = [](char c) { return c >= '0' && c <= '9'; };
-  for (auto at = text.find(protocol); at != std::string_view::npos;
-       at = text.find(protocol, at + 1)) {
-    const auto rest = text.substr(at + protocol.size(), 5);
-    if (rest.size() == 5 && digit(rest[0]) && rest[1] == ' ' &&
-        std::all_of(rest.begin() + 2, rest.end(), digit))
-      return true;
-  }
-  return false;
-}
-
-/// Whether the head was cut and another one followed, which evhttp reads as
-/// one.
-auto holds_second_head(evhttp_request* response, const http_headers& headers)
-    -> bool {
-  const auto* line = evhttp_request_get_response_code_line(response);
-  const std::string reason = line == nullptr ? "" : line;
-  // A status line that follows the digits of a cut one leaves its own status.
-  const auto begins_with_status =
-      reason.size() >= 3 &&
-      std::all_of(reason.begin(), reason.begin() + 3,
-                  [](char c) { return c >= '0' && c <= '9'; });
-  const auto& fields = headers.fields();
-  return begins_with_status || contains_status_line(reason) ||
-         std::any_of(fields.begin(), fields.end(), [](const auto& field) {
-           return contains_status_line(field.second);
-         });
-}
 
 }  // namespace
 
@@ -126,7 +81,8 @@
   std::string error_body;           // body of a response with another status
   response_limits limits;
   evbuffer_cb_entry* input_watch = nullptr;
-  const char* rejection = nullptr;  // of the response, by this client
+  std::optional<response_scanner> scanner;  // of the response that arrives
+  const char* rejection = nullptr;          // of the response, by this client
   std::shared_ptr<http_client::receiver> receiver;
   std::uint64_t receiver_id = 0;
   std::shared_ptr<impl> self;  // keeps the state alive until released
@@ -218,20 +174,38 @@
                        void* arg) -> void {
     auto* self = static_cast<impl*>(arg);
     self->receiver->update(self->receiver_id, self->peer, self->held_bytes());
+    if (change->n_added == 0) return;
+    self->check_input(buffer, change->n_added);
     const auto limit = self->limits.header_bytes + self->limits.body_bytes;
-    if (change->n_added == 0 || evbuffer_get_length(buffer) <= limit) return;
+    if (evbuffer_get_length(buffer) <= limit) return;
     // The bufferevent still reads.
     self->loop.post([state = self->self] {
       if (!state->done) state->interrupt_oversized();
     });
   }
 
+  /// Rejects an invalid response before evhttp reads it.
+  auto check_input(evbuffer* buffer, std::size_t added) -> void {
+    detail::visit_newest_bytes(
+        buffer, added, [this](std::string_view part) { scanner->scan(part); });
+    if (scanner->valid() || rejection != nullptr) return;
+    rejection = "invalid response";
+    // evhttp may wait for more.
+    loop.post([state = self] {
+      if (!state->done) state->interrupt_invalid();
+    });
+  }
+
   auto interrupt_oversized() -> void {
     failure = EVREQ_HTTP_DATA_TOO_LONG;
     finish(call_interrupted{{step, peer, failure_text()}, received_bytes()}, {},
            false);
   }
 
+  auto interrupt_invalid() -> void {
+    finish(call_interrupted{{step, peer, failure_text()}}, {}, false);
+  }
+
   auto on_timeout() -> void {
     finish(call_interrupted{{step, peer, "timed out"}, received_bytes()}, {},
            false);
@@ -253,6 +227,7 @@
   }
 
   auto handle_header(evhttp_request* handle) -> bool {
+    if (rejection != nullptr) return false;
     auto* fields = evhttp_request_get_input_headers(handle);
     status = evhttp_request_get_response_code(handle);
     // evhttp reads the final response into the same fields.
@@ -261,11 +236,6 @@
       return true;
     }
     const auto headers = detail::read_headers(fields);
-    if (status < HTTP_OK || status > max_status || !framing_is_known(headers) ||
-        holds_second_head(handle, headers)) {
-      rejection = "invalid response";
-      return false;
-    }
     end = find_body_end(detail::method_name(evhttp_request_get_command(handle)),
                         status, headers);
     // With any other Connection field, evhttp expects no body.
@@ -282,7 +252,7 @@
     auto* self = static_cast<impl*>(arg);
     const auto data =
         detail::buffer_text(evhttp_request_get_input_buffer(handle));
-    if (self->done) return;
+    if (self->done || self->rejection != nullptr) return;
     self->status = evhttp_request_get_response_code(handle);
     if (self->status != HTTP_OK) {
       self->error_body += data;
@@ -297,10 +267,8 @@
   static auto on_complete(evhttp_request* handle, void* arg) -> void {
     auto* self = static_cast<impl*>(arg);
     if (self->done) return;
-    if (handle == nullptr)
-      return self->finish(
-          call_interrupted{{self->step, self->peer, self->failure_text()}}, {},
-          false);
+    if (handle == nullptr || self->rejection != nullptr)
+      return self->interrupt_invalid();
     if (evhttp_request_get_response_code(handle) == 0)
       return self->finish(
           call_unsent{{self->step, self->peer, "connection not made"}}, {},
@@ -428,6 +396,7 @@
   state->limits = call.limits;
   state->receiver = impl_->receiver;
   state->receiver_id = impl_->receiver->add(state);
+  state->scanner.emplace(call.limits.header_bytes, call.method == "HEAD");
   state->apply_limits();
 
   auto* raw = state.get();
--- /dev/null
+++ b/src/response_scanner.cpp
@@ -0,0 +1,200 @@
+#include "response_scanner.hpp"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace pollenloft {
+
+namespace {
+
+constexpr int continue_status = 100;
+constexpr int min_final_status = 200;
+constexpr int max_status = 599;
+constexpr std::size_t status_digits = 3;
+constexpr std::string_view protocol = "HTTP/1.";
+constexpr std::string_view blanks = " \t";
+/// No body is as long as a number of more digits.
+constexpr std::size_t max_length_digits = 18;
+constexpr std::size_t max_chunk_size_digits = 15;
+
+auto is_digit(char c) -> bool {
+  return c >= '0' && c <= '9';
+}
+
+/// Whether the character may be part of a field name, RFC 9110, section 5.6.2.
+auto is_token(char c) -> bool {
+  constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+  return is_digit(c) || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         marks.find(c) != marks.npos;
+}
+
+auto is_text(char c) -> bool {
+  constexpr unsigned char first_printable = 0x20;
+  constexpr unsigned char del = 0x7f;
+  const auto code = static_cast<unsigned char>(c);
+  return c == '\t' || (code >= first_printable && code != del);
+}
+
+auto is_text(std::string_view text) -> bool {
+  return std::all_of(text.begin(), text.end(),
+                     [](char c) { return is_text(c); });
+}
+
+auto is_number(std::string_view text) -> bool {
+  return !text.empty() && std::all_of(text.begin(), text.end(), is_digit);
+}
+
+auto equals(std::string_view a, std::string_view b) -> bool {
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+auto trim(std::string_view text) -> std::string_view {
+  const auto first = text.find_first_not_of(blanks);
+  if (first == text.npos) return {};
+  return text.substr(first, text.find_last_not_of(blanks) + 1 - first);
+}
+
+/// Whether the text holds a status line, `HTTP/1.1 200`: the head was cut, and
+/// another one followed.
+auto contains_status_line(std::string_view text) -> bool {
+  for (auto at = text.find(protocol); at != text.npos;
+       at = text.find(protocol, at + 1)) {
+    const auto rest =
+        text.substr(at + protocol.size(), status_digits + std::size_t{2});
+    if (rest.size() == status_digits + 2 && is_digit(rest[0]) &&
+        rest[1] == ' ' && is_number(rest.substr(2)))
+      return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+response_scanner::response_scanner(std::size_t max_line_bytes,
+                                   bool answers_head)
+    : max_line_bytes_(max_line_bytes), answers_head_(answers_head) {}
+
+auto response_scanner::scan(std::string_view bytes) -> void {
+  while (!bytes.empty() && valid() && state_ != state::unchecked)
+    bytes.remove_prefix(state_ == state::chunk_data ? scan_chunk(bytes)
+                                                    : scan_line(bytes));
+}
+
+auto response_scanner::scan_line(std::string_view bytes) -> std::size_t {
+  const auto end = bytes.find('\n');
+  const auto part = bytes.substr(0, end);
+  line_too_long_ =
+      line_too_long_ || line_.size() + part.size() > max_line_bytes_;
+  if (line_too_long_)
+    line_.clear();
+  else
+    line_ += part;
+  if (end == bytes.npos) return bytes.size();
+  // A line feed alone may be a damaged byte, which moves the end of the head.
+  const auto ends_with_cr = !line_.empty() && line_.back() == '\r';
+  if (ends_with_cr) line_.pop_back();
+  if (line_too_long_)
+    state_ = state::unchecked;
+  else
+    state_ = ends_with_cr ? next_state(line_) : state::invalid;
+  line_.clear();
+  return end + 1;
+}
+
+auto response_scanner::scan_chunk(std::string_view bytes) -> std::size_t {
+  const auto size = std::min<std::uint64_t>(bytes.size(), chunk_left_);
+  chunk_left_ -= size;
+  if (chunk_left_ == 0) state_ = state::chunk_end;
+  return size;
+}
+
+auto response_scanner::next_state(std::string_view line) -> state {
+  switch (state_) {
+    case state::status_line:
+      return read_status(line) ? state::field : state::invalid;
+    case state::field:
+      if (line.empty()) return end_head();
+      return read_field(line) ? state::field : state::invalid;
+    case state::chunk_size:
+      if (!read_chunk_size(line)) return state::invalid;
+      return chunk_left_ == 0 ? state::trailer : state::chunk_data;
+    case state::chunk_end:
+      return line.empty() ? state::chunk_size : state::invalid;
+    case state::trailer:
+      if (line.empty()) return state::unchecked;
+      return read_field(line) ? state::trailer : state::invalid;
+    default:
+      return state_;
+  }
+}
+
+auto response_scanner::end_head() -> state {
+  if (status_ == continue_status) {
+    length_.reset();
+    chunked_ = false;
+    return state::status_line;
+  }
+  constexpr int no_content = 204;
+  constexpr int not_modified = 304;
+  const auto has_body =
+      !answers_head_ && status_ != no_content && status_ != not_modified;
+  return has_body && chunked_ ? state::chunk_size : state::unchecked;
+}
+
+auto response_scanner::read_status(std::string_view line) -> bool {
+  const auto digits_begin = protocol.size() + 2;
+  const auto digits_end = digits_begin + status_digits;
+  if (line.size() < digits_end || line.substr(0, protocol.size()) != protocol ||
+      !is_digit(line[protocol.size()]) || line[digits_begin - 1] != ' ')
+    return false;
+  const auto digits = line.substr(digits_begin, status_digits);
+  if (!is_number(digits)) return false;
+  std::from_chars(digits.data(), digits.data() + digits.size(), status_);
+  if (status_ != continue_status &&
+      (status_ < min_final_status || status_ > max_status))
+    return false;
+  if (line.size() == digits_end) return true;
+  if (line[digits_end] != ' ') return false;
+  const auto reason = line.substr(digits_end + 1);
+  // The status of a second status line.
+  const auto begins_with_status = reason.size() >= status_digits &&
+                                  is_number(reason.substr(0, status_digits));
+  return is_text(reason) && !begins_with_status &&
+         !contains_status_line(reason);
+}
+
+auto response_scanner::read_field(std::string_view line) -> bool {
+  const auto colon = line.find(':');
+  if (colon == line.npos || colon == 0) return false;
+  const auto name = line.substr(0, colon);
+  const auto value = trim(line.substr(colon + 1));
+  if (!std::all_of(name.begin(), name.end(), is_token) || !is_text(value) ||
+      contains_status_line(value))
+    return false;
+  if (equals(name, "Content-Length")) {
+    if (!is_number(value) || value.size() > max_length_digits) return false;
+    if (!length_) length_ = value;
+    return *length_ == value;
+  }
+  if (equals(name, "Transfer-Encoding")) {
+    chunked_ = true;
+    // evhttp decodes no other coding.
+    return equals(value, "chunked");
+  }
+  return true;
+}
+
+auto response_scanner::read_chunk_size(std::string_view line) -> bool {
+  const auto* begin = line.data();
+  const auto* end = begin + line.size();
+  constexpr int hexadecimal = 16;
+  const auto read = std::from_chars(begin, end, chunk_left_, hexadecimal);
+  const auto digits = static_cast<std::size_t>(read.ptr - begin);
+  if (read.ec != std::errc() || digits > max_chunk_size_digits) return false;
+  const auto extension = trim(line.substr(digits));
+  return is_text(extension) && (extension.empty() || extension[0] == ';');
+}
+
+}  // namespace pollenloft
