Reject responses with bytes after their body

Cause: evhttp takes the bytes of the length and drops the rest. The connection ends with the response, so nothing may follow it.

Change: response_scanner also follows bodies with a length; bytes after them or after the last chunk reject the response, unless the connection is kept. Bytes that arrive later than the end of the body are not seen: evhttp ends the connection there.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -188,7 +188,9 @@
   auto check_input(evbuffer* buffer, std::size_t added) -> void {
     detail::visit_newest_bytes(
         buffer, added, [this](std::string_view part) { scanner->scan(part); });
-    if (scanner->valid() || rejection != nullptr) return;
+    // Only a peer that keeps its connection may send ahead.
+    const auto has_surplus = scanner->surplus() && !reusable;
+    if ((scanner->valid() && !has_surplus) || rejection != nullptr) return;
     rejection = "invalid response";
     // evhttp may wait for more.
     loop.post([state = self] {
--- a/src/response_scanner.cpp
+++ b/src/response_scanner.cpp
@@ -77,9 +77,14 @@
     : max_line_bytes_(max_line_bytes), answers_head_(answers_head) {}
 
 auto response_scanner::scan(std::string_view bytes) -> void {
-  while (!bytes.empty() && valid() && state_ != state::unchecked)
-    bytes.remove_prefix(state_ == state::chunk_data ? scan_chunk(bytes)
-                                                    : scan_line(bytes));
+  while (!bytes.empty() && valid() && state_ != state::unchecked) {
+    if (state_ == state::complete) {
+      surplus_ = true;
+      return;
+    }
+    const auto in_body = state_ == state::chunk_data || state_ == state::body;
+    bytes.remove_prefix(in_body ? scan_body(bytes) : scan_line(bytes));
+  }
 }
 
 auto response_scanner::scan_line(std::string_view bytes) -> std::size_t {
@@ -103,10 +108,11 @@
   return end + 1;
 }
 
-auto response_scanner::scan_chunk(std::string_view bytes) -> std::size_t {
-  const auto size = std::min<std::uint64_t>(bytes.size(), chunk_left_);
-  chunk_left_ -= size;
-  if (chunk_left_ == 0) state_ = state::chunk_end;
+auto response_scanner::scan_body(std::string_view bytes) -> std::size_t {
+  const auto size = std::min<std::uint64_t>(bytes.size(), left_);
+  left_ -= size;
+  if (left_ == 0)
+    state_ = state_ == state::body ? state::complete : state::chunk_end;
   return size;
 }
 
@@ -119,11 +125,11 @@
       return read_field(line) ? state::field : state::invalid;
     case state::chunk_size:
       if (!read_chunk_size(line)) return state::invalid;
-      return chunk_left_ == 0 ? state::trailer : state::chunk_data;
+      return left_ == 0 ? state::trailer : state::chunk_data;
     case state::chunk_end:
       return line.empty() ? state::chunk_size : state::invalid;
     case state::trailer:
-      if (line.empty()) return state::unchecked;
+      if (line.empty()) return state::complete;
       return read_field(line) ? state::trailer : state::invalid;
     default:
       return state_;
@@ -140,7 +146,10 @@
   constexpr int not_modified = 304;
   const auto has_body =
       !answers_head_ && status_ != no_content && status_ != not_modified;
-  return has_body && chunked_ ? state::chunk_size : state::unchecked;
+  if (has_body && chunked_) return state::chunk_size;
+  if (!has_body || !length_) return state::unchecked;
+  std::from_chars(length_->data(), length_->data() + length_->size(), left_);
+  return left_ == 0 ? state::complete : state::body;
 }
 
 auto response_scanner::read_status(std::string_view line) -> bool {
@@ -190,7 +199,7 @@
   const auto* begin = line.data();
   const auto* end = begin + line.size();
   constexpr int hexadecimal = 16;
-  const auto read = std::from_chars(begin, end, chunk_left_, hexadecimal);
+  const auto read = std::from_chars(begin, end, left_, hexadecimal);
   const auto digits = static_cast<std::size_t>(read.ptr - begin);
   if (read.ec != std::errc() || digits > max_chunk_size_digits) return false;
   const auto extension = trim(line.substr(digits));
--- a/src/response_scanner.hpp
+++ b/src/response_scanner.hpp
@@ -23,6 +23,8 @@
   auto scan(std::string_view bytes) -> void;
   /// Whether the bytes so far begin a valid response.
   auto valid() const -> bool { return state_ != state::invalid; }
+  /// Whether bytes follow the body, whose end a length or chunks tell.
+  auto surplus() const -> bool { return surplus_; }
 
  private:
   enum class state {
@@ -32,13 +34,16 @@
     chunk_data,
     chunk_end,
     trailer,
-    unchecked,  // a body without chunks, and what follows a response
+    body,      // of a length
+    complete,  // a body of a length or in chunks
+    unchecked,
     invalid
   };
 
   /// Takes bytes up to the end of a line. Returns how many.
   auto scan_line(std::string_view bytes) -> std::size_t;
-  auto scan_chunk(std::string_view bytes) -> std::size_t;
+  /// Takes bytes of a chunk or of a body with a length. Returns how many.
+  auto scan_body(std::string_view bytes) -> std::size_t;
   /// Returns the state after a line, without its end.
   auto next_state(std::string_view line) -> state;
   auto end_head() -> state;
@@ -54,7 +59,8 @@
   int status_ = 0;
   std::optional<std::string> length_;
   bool chunked_ = false;
-  std::uint64_t chunk_left_ = 0;  // bytes
+  std::uint64_t left_ = 0;  // bytes of the chunk, or of the body
+  bool surplus_ = false;
 };
 
 }  // namespace pollenloft
--- a/test/response_head_test.cpp
+++ b/test/response_head_test.cpp
@@ -23,6 +23,7 @@
 class response_head_test : public two_endpoint_fixture {
   CPPUNIT_TEST_SUITE(response_head_test);
   CPPUNIT_TEST(invalid_length_delivers_another_body);
+  CPPUNIT_TEST(length_below_the_body_delivers_a_part);
   CPPUNIT_TEST(line_without_field_is_passed_on);
   CPPUNIT_TEST(invalid_field_name_is_passed_on);
   CPPUNIT_TEST(control_byte_in_a_value_is_passed_on);
@@ -73,6 +74,13 @@
       expect_rejected(field + "\r\n");
   }
 
+  auto length_below_the_body_delivers_a_part() -> void {
+    expect_rejected("Content-Length: 3\r\n"s);
+    expect_rejected("Content-Length: 0\r\n"s);
+    expect_rejected("Content-Length: " + std::to_string(body.size() - 1) +
+                    "\r\n");
+  }
+
   auto line_without_field_is_passed_on() -> void {
     for (const auto& line :
          {"no field"s, "\0X: 1"s, " X: 1"s, "\tX: 1"s, "\r"s, "\0"s})
--- a/test/response_scanner_test.cpp
+++ b/test/response_scanner_test.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(bytes_without_chunks_are_checked_as_chunks);
   CPPUNIT_TEST(long_line_is_kept);
   CPPUNIT_TEST(single_byte_changes_the_length);
+  CPPUNIT_TEST(bytes_after_the_body_are_overlooked);
   CPPUNIT_TEST_SUITE_END();
 
   static auto expect(bool wanted, const std::string& bytes) -> void {
@@ -85,6 +86,25 @@
                                  is_number || byte == ' ' || byte == '\t');
       }
   }
+
+  auto bytes_after_the_body_are_overlooked() -> void {
+    const auto surplus = [](const std::string& bytes) {
+      response_scanner scanner(max_line_bytes, false);
+      for (const auto byte : bytes)
+        scanner.scan({&byte, 1});
+      CPPUNIT_ASSERT(scanner.valid());
+      return scanner.surplus();
+    };
+    const auto none = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"s;
+    const auto five = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"s;
+    const auto chunks = chunked + "\r\n5\r\nwhole\r\n0\r\n\r\n";
+    for (const auto& whole : {none, five, chunks}) {
+      CPPUNIT_ASSERT(!surplus(whole));
+      CPPUNIT_ASSERT(surplus(whole + "x"));
+    }
+    CPPUNIT_ASSERT(!surplus("HTTP/1.1 200 OK\r\n\r\nwhole"));
+    CPPUNIT_ASSERT(!surplus("HTTP/1.1 304 Same\r\nContent-Length: 5\r\n\r\nx"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(response_scanner_test);
