Send the length of each request body, whatever its method

A DELETE, GET or PATCH with a body reached the endpoint without Content-Length; it ran with an empty body, and its caller got 200.

Cause: evhttp adds a length for POST and PUT only, but sends the body of any method.

Change: the client announces the length of each body that is not empty.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -413,6 +413,10 @@
     evhttp_add_header(output, "Host", call.peer.host.c_str());
   if (!call.keep_alive) evhttp_add_header(output, "Connection", "close");
   detail::write_headers(output, call.headers);
+  // evhttp adds it for POST and PUT only, but sends the body of any method.
+  if (!call.body.empty() && !call.headers.find("Content-Length"))
+    evhttp_add_header(output, "Content-Length",
+                      std::to_string(call.body.size()).c_str());
   evbuffer_add(evhttp_request_get_output_buffer(handle), call.body.data(),
                call.body.size());
   state->timeout_timer =
