Refuse requests whose head breaks the grammar of HTTP

A caller could hide a request in the body of another: behind `Content-Length : 35` the server ran the 35 bytes as a request of their own, and passed the line on to the endpoint. A NUL byte in a length, a length with a sign, a folded line, an unknown transfer coding and a field name with control bytes did the same. Such callers are to be expected once the doors are open.

Cause: that of, in the server: evhttp reads heads leniently.

Change: head_scanner, which counted lines only, checks them as they arrive, also those of requests that wait behind another. The server answers 400, truly not run, and closes the connection. Both a length and chunks are refused as well. A line feed without a carriage return is still accepted in requests.

--- a/src/caller_connection.hpp
+++ b/src/caller_connection.hpp
@@ -25,6 +25,20 @@
 /// Bytes of trailers; evhttp counts them with the head.
 constexpr std::size_t max_trailer_bytes = 1024;
 
+constexpr std::string_view overload_response =
+    "HTTP/1.1 503 Service Unavailable\r\n"
+    "Connection: close\r\n"
+    "Content-Length: 24\r\n"
+    "Pollenloft-Outcome: not-run\r\n"
+    "Retry-After: 1\r\n\r\n"
+    "The server is overloaded";
+constexpr std::string_view head_too_large_response =
+    "HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    "Connection: close\r\n"
+    "Content-Length: 23\r\n"
+    "Pollenloft-Outcome: not-run\r\n\r\n"
+    "Too many header fields.";
+
 /// A request that arrives in more reads of few bytes than this is read less
 /// often, so that its bytes share buffers.
 constexpr int max_small_reads = 64;
@@ -90,6 +104,11 @@
       guard->refuse(id);
     return lines;
   }
+  /// What a caller gets whose request has not arrived completely.
+  auto refusal() const -> std::string_view {
+    return head.lines() > max_head_lines ? head_too_large_response
+                                         : overload_response;
+  }
   auto slow_down() -> void {
     slowed = guard->after(small_read_interval, [this] {
       slowed_down = false;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -40,19 +40,6 @@
 /// The request line and the empty line, and one that is above the limit: evhttp
 /// reads a head that ends there, and it is refused by name.
 constexpr std::size_t head_lines_beside_fields = 3;
-constexpr auto overload_response =
-    "HTTP/1.1 503 Service Unavailable\r\n"
-    "Connection: close\r\n"
-    "Content-Length: 24\r\n"
-    "Pollenloft-Outcome: not-run\r\n"
-    "Retry-After: 1\r\n\r\n"
-    "The server is overloaded";
-constexpr auto head_too_large_response =
-    "HTTP/1.1 431 Request Header Fields Too Large\r\n"
-    "Connection: close\r\n"
-    "Content-Length: 23\r\n"
-    "Pollenloft-Outcome: not-run\r\n\r\n"
-    "Too many header fields.";
 
 }  // namespace
 
@@ -285,11 +272,9 @@
     guard().count_refusal();
     record.refused = true;
     if (evbuffer_get_length(output) == 0) {
-      const auto* response = record.head.lines() > record.max_head_lines
-                                 ? head_too_large_response
-                                 : overload_response;
+      const auto response = record.refusal();
       evbuffer_unfreeze(output, 1);
-      evbuffer_add(output, response, strlen(response));
+      evbuffer_add(output, response.data(), response.size());
       evbuffer_write(output, bufferevent_getfd(stream));
     }
     evhttp_connection_free(handle);
@@ -378,6 +363,13 @@
   }
 
   auto handle_request(evhttp_request* handle) -> void {
+    const auto& caller = connections.at(evhttp_request_get_connection(handle));
+    if (!caller->head.valid()) {
+      // The end of the request is not known.
+      evhttp_add_header(evhttp_request_get_output_headers(handle), "Connection",
+                        "close");
+      return reply_error(handle, 400, "The header is invalid.");
+    }
     auto state = std::make_unique<exchange::impl>();
     auto& request = state->request;
     request.headers =
--- a/src/response_scanner.cpp
+++ b/src/response_scanner.cpp
@@ -1,7 +1,5 @@
 #include "response_scanner.hpp"
 
-#include <strings.h>
-
 #include <algorithm>
 #include <charconv>
 
@@ -14,48 +12,12 @@
 constexpr int max_status = 599;
 constexpr std::size_t status_digits = 3;
 constexpr std::string_view protocol = "HTTP/1.";
-constexpr std::string_view blanks = " \t";
-/// No body is as long as a number of more digits.
-constexpr std::size_t max_length_digits = 18;
 constexpr std::size_t max_chunk_size_digits = 15;
 
 auto is_digit(char c) -> bool {
   return c >= '0' && c <= '9';
 }
 
-/// Whether the character may be part of a field name, RFC 9110, section 5.6.2.
-auto is_token(char c) -> bool {
-  constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
-  return is_digit(c) || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-         marks.find(c) != marks.npos;
-}
-
-auto is_text(char c) -> bool {
-  constexpr unsigned char first_printable = 0x20;
-  constexpr unsigned char del = 0x7f;
-  const auto code = static_cast<unsigned char>(c);
-  return c == '\t' || (code >= first_printable && code != del);
-}
-
-auto is_text(std::string_view text) -> bool {
-  return std::all_of(text.begin(), text.end(),
-                     [](char c) { return is_text(c); });
-}
-
-auto is_number(std::string_view text) -> bool {
-  return !text.empty() && std::all_of(text.begin(), text.end(), is_digit);
-}
-
-auto equals(std::string_view a, std::string_view b) -> bool {
-  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
-auto trim(std::string_view text) -> std::string_view {
-  const auto first = text.find_first_not_of(blanks);
-  if (first == text.npos) return {};
-  return text.substr(first, text.find_last_not_of(blanks) + 1 - first);
-}
-
 /// Whether the text holds a status line, `HTTP/1.1 200`: the head was cut, and
 /// another one followed.
 auto contains_status_line(std::string_view text) -> bool {
@@ -138,17 +100,17 @@
 
 auto response_scanner::end_head() -> state {
   if (status_ == continue_status) {
-    length_.reset();
-    chunked_ = false;
+    fields_ = {};
     return state::status_line;
   }
   constexpr int no_content = 204;
   constexpr int not_modified = 304;
   const auto has_body =
       !answers_head_ && status_ != no_content && status_ != not_modified;
-  if (has_body && chunked_) return state::chunk_size;
-  if (!has_body || !length_) return state::unchecked;
-  std::from_chars(length_->data(), length_->data() + length_->size(), left_);
+  if (has_body && fields_.chunked()) return state::chunk_size;
+  const auto& length = fields_.length();
+  if (!has_body || !length) return state::unchecked;
+  std::from_chars(length->data(), length->data() + length->size(), left_);
   return left_ == 0 ? state::complete : state::body;
 }
 
@@ -175,24 +137,7 @@
 }
 
 auto response_scanner::read_field(std::string_view line) -> bool {
-  const auto colon = line.find(':');
-  if (colon == line.npos || colon == 0) return false;
-  const auto name = line.substr(0, colon);
-  const auto value = trim(line.substr(colon + 1));
-  if (!std::all_of(name.begin(), name.end(), is_token) || !is_text(value) ||
-      contains_status_line(value))
-    return false;
-  if (equals(name, "Content-Length")) {
-    if (!is_number(value) || value.size() > max_length_digits) return false;
-    if (!length_) length_ = value;
-    return *length_ == value;
-  }
-  if (equals(name, "Transfer-Encoding")) {
-    chunked_ = true;
-    // evhttp decodes no other coding.
-    return equals(value, "chunked");
-  }
-  return true;
+  return !contains_status_line(line) && fields_.read(line);
 }
 
 auto response_scanner::read_chunk_size(std::string_view line) -> bool {
--- a/src/response_scanner.hpp
+++ b/src/response_scanner.hpp
@@ -7,10 +7,11 @@
 #define POLLENLOFT_RESPONSE_SCANNER_HPP
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 
+#include "field_reader.hpp"
+
 namespace pollenloft {
 
 class response_scanner {
@@ -57,8 +58,7 @@
   std::string line_;
   bool line_too_long_ = false;
   int status_ = 0;
-  std::optional<std::string> length_;
-  bool chunked_ = false;
+  field_reader fields_;
   std::uint64_t left_ = 0;  // bytes of the chunk, or of the body
   bool surplus_ = false;
 };
