Accept a second response behind the body of the first

Cause: bytes behind a body were all taken for the rest of a body whose length is damaged.

Change: bytes that begin another status line are no such rest. Beside it, the client's interrupt() loses a part of its name that was not true.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -194,7 +194,7 @@
     rejection = "invalid response";
     // evhttp may wait for more.
     loop.post([state = self] {
-      if (!state->done) state->interrupt_invalid();
+      if (!state->done) state->interrupt();
     });
   }
 
@@ -204,7 +204,7 @@
            false);
   }
 
-  auto interrupt_invalid() -> void {
+  auto interrupt() -> void {
     finish(call_interrupted{{step, peer, failure_text()}}, {}, false);
   }
 
@@ -270,7 +270,7 @@
     auto* self = static_cast<impl*>(arg);
     if (self->done) return;
     if (handle == nullptr || self->rejection != nullptr)
-      return self->interrupt_invalid();
+      return self->interrupt();
     if (evhttp_request_get_response_code(handle) == 0)
       return self->finish(
           call_unsent{{self->step, self->peer, "connection not made"}}, {},
--- a/src/response_scanner.cpp
+++ b/src/response_scanner.cpp
@@ -41,7 +41,8 @@
 auto response_scanner::scan(std::string_view bytes) -> void {
   while (!bytes.empty() && valid() && state_ != state::unchecked) {
     if (state_ == state::complete) {
-      surplus_ = true;
+      const auto wanted = protocol.size() - following_.size();
+      following_ += bytes.substr(0, wanted);
       return;
     }
     const auto in_body = state_ == state::chunk_data || state_ == state::body;
@@ -49,6 +50,10 @@
   }
 }
 
+auto response_scanner::surplus() const -> bool {
+  return !following_.empty() && following_ != protocol;
+}
+
 auto response_scanner::scan_line(std::string_view bytes) -> std::size_t {
   const auto end = bytes.find('\n');
   const auto part = bytes.substr(0, end);
--- a/src/response_scanner.hpp
+++ b/src/response_scanner.hpp
@@ -24,8 +24,9 @@
   auto scan(std::string_view bytes) -> void;
   /// Whether the bytes so far begin a valid response.
   auto valid() const -> bool { return state_ != state::invalid; }
-  /// Whether bytes follow the body, whose end a length or chunks tell.
-  auto surplus() const -> bool { return surplus_; }
+  /// Whether bytes follow the body, whose end a length or chunks tell, that
+  /// begin no other response. An endpoint may send a response twice.
+  auto surplus() const -> bool;
 
  private:
   enum class state {
@@ -60,7 +61,7 @@
   int status_ = 0;
   field_reader fields_;
   std::uint64_t left_ = 0;  // bytes of the chunk, or of the body
-  bool surplus_ = false;
+  std::string following_;   // the first bytes after the body
 };
 
 }  // namespace pollenloft
--- a/test/response_scanner_test.cpp
+++ b/test/response_scanner_test.cpp
@@ -101,6 +101,8 @@
     for (const auto& whole : {none, five, chunks}) {
       CPPUNIT_ASSERT(!surplus(whole));
       CPPUNIT_ASSERT(surplus(whole + "x"));
+      CPPUNIT_ASSERT(surplus(whole + "HTTP/2"));
+      CPPUNIT_ASSERT(!surplus(whole + whole));
     }
     CPPUNIT_ASSERT(!surplus("HTTP/1.1 200 OK\r\n\r\nwhole"));
     CPPUNIT_ASSERT(!surplus("HTTP/1.1 304 Same\r\nContent-Length: 5\r\n\r\nx"));
