Review: answers that callers read in part go over the memory limit

The output buffer holds an answer as one piece until its last byte is written; the budget counts only what is unwritten. 150 callers that leave a part of 4 MB unread take an entry process over the 260 MB of its machine, while it counts less than 20 MB: Fault.

--- a/review/kit-2.hpp
+++ b/review/kit-2.hpp
@@ -14,6 +14,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <cstdio>
@@ -299,6 +300,7 @@
     return status;
   }
   auto running() const -> bool { return pid_ > 0; }
+  auto pid() const -> pid_t { return pid_; }
   auto signal(int number) -> void {
     if (pid_ > 0) ::kill(pid_, number);
   }
